Core: Add the design page, the base libraries and the build

Cause: the project starts from an empty tree; modules built in parallel need one design page and one set of base types. Change: docs/design.md with every requirement and figure, Core (errors as values, strong ids, lock ranks), Observe (numbered events, counters, histograms), Http (whole messages for control traffic), the fleet configuration reader, build, test and lint scripts. Conclusion: the base that the request path, routing, membership, settings and usage modules build on.

--- /dev/null
+++ b/Libraries/Core/core.h
@@ -0,0 +1,11 @@
+// Public header of the Core library: errors as values, identifiers, time and
+// lock ranks.
+#pragma once
+
+#include "Libraries/Core/error.h"
+#include "Libraries/Core/lock_rank.h"
+#include "Libraries/Core/name_table.h"
+#include "Libraries/Core/strong_id.h"
+#include "Libraries/Core/table_commit.h"
+#include "Libraries/Core/time.h"
+#include "Libraries/Core/verify.h"
--- /dev/null
+++ b/Libraries/Http/http_client.cc
@@ -0,0 +1,118 @@
+#include "Libraries/Http/http_client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint64_t kBodyLimitBytes = 64U << 20U;
+
+http::request<http::string_body> ToBeast(HttpRequest request,
+                                         const std::string& host) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(http::field::host, host);
+  for (const auto& [name, value] : request.headers) message.set(name, value);
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponse FromBeast(http::response<http::string_body> message) {
+  HttpResponse response;
+  response.status = message.result_int();
+  for (const auto& field : message) {
+    response.headers.emplace_back(std::string(field.name_string()),
+                                  std::string(field.value()));
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+}  // namespace
+
+Result<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  unsigned short port = 0;
+  boost::system::error_code error;
+  if (colon != std::string_view::npos) {
+    std::string_view ip = text.substr(0, colon);
+    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
+      ip = ip.substr(1, ip.size() - 2);
+    const char* end = text.data() + text.size();
+    const auto address = asio::ip::make_address(std::string(ip), error);
+    if (!error &&
+        std::from_chars(text.data() + colon + 1, end, port).ptr == end) {
+      return asio::ip::tcp::endpoint(address, port);
+    }
+  }
+  return Fail(ErrorCode::kInvalidArgument, "address \"" + std::string(text) +
+                                               "\" is not of the form IP:PORT");
+}
+
+class HttpClient::Connection {
+ public:
+  explicit Connection(const asio::any_io_executor& executor)
+      : stream(executor) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+HttpClient::HttpClient(asio::any_io_executor executor,
+                       asio::ip::tcp::endpoint endpoint)
+    : executor_(std::move(executor)), endpoint_(std::move(endpoint)) {}
+HttpClient::~HttpClient() = default;
+HttpClient::HttpClient(HttpClient&&) noexcept = default;
+HttpClient& HttpClient::operator=(HttpClient&&) noexcept = default;
+
+asio::awaitable<Result<HttpResponse>> HttpClient::Send(HttpRequest request,
+                                                       Duration timeout) {
+  const std::string host =
+      endpoint_.address().to_string() + ":" + std::to_string(endpoint_.port());
+  const http::request<http::string_body> message =
+      ToBeast(std::move(request), host);
+  std::unique_ptr<Connection> connection = std::move(connection_);
+  if (!connection) {
+    connection = std::make_unique<Connection>(executor_);
+    connection->stream.expires_after(timeout);
+    const auto [error] =
+        co_await connection->stream.async_connect(endpoint_, kUseTuple);
+    if (error)
+      co_return Fail(ErrorCode::kUnavailable,
+                     host + ": connect: " + error.message());
+  }
+  connection->stream.expires_after(timeout);
+  const auto [write_error, written] =
+      co_await http::async_write(connection->stream, message, kUseTuple);
+  if (write_error) {
+    co_return Fail(ErrorCode::kUnavailable,
+                   host + ": write: " + write_error.message());
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kBodyLimitBytes);
+  const auto [read_error, read] = co_await http::async_read(
+      connection->stream, connection->buffer, parser, kUseTuple);
+  if (read_error) {
+    co_return Fail(ErrorCode::kOutcomeUnknown,
+                   host + ": read: " + read_error.message());
+  }
+  if (parser.get().keep_alive() && connection->buffer.size() == 0) {
+    connection->stream.expires_never();
+    connection_ = std::move(connection);
+  }
+  co_return FromBeast(parser.release());
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Http/http_server.cc
@@ -0,0 +1,148 @@
+#include "Libraries/Http/http_server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+
+HttpRequest FromBeast(http::request<http::string_body> message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.emplace_back(std::string(field.name_string()),
+                                 std::string(field.value()));
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+http::response<http::string_body> ToBeast(HttpResponse response) {
+  http::response<http::string_body> message;
+  message.version(11);
+  message.result(response.status);
+  for (const auto& [name, value] : response.headers) message.set(name, value);
+  message.body() = std::move(response.body);
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace
+
+struct HttpServer::State {
+  State(const asio::any_io_executor& executor, Options given_options,
+        Handler given_handler)
+      : acceptor(executor),
+        options(given_options),
+        handler(std::move(given_handler)) {}
+
+  asio::ip::tcp::acceptor acceptor;
+  Options options;
+  Handler handler;
+  bool stopping = false;
+};
+
+namespace {
+
+// Serves one connection until it closes, idles out, sends bad framing or the
+// server stops.
+template <typename State>
+asio::awaitable<void> ServeConnection(std::shared_ptr<State> state,
+                                      asio::ip::tcp::socket socket) {
+  beast::tcp_stream stream(std::move(socket));
+  stream.socket().set_option(asio::ip::tcp::no_delay(true));
+  beast::flat_buffer buffer;
+  while (!state->stopping) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(state->options.body_limit_bytes);
+    stream.expires_after(state->options.idle_timeout);
+    const auto [read_error, read] =
+        co_await http::async_read(stream, buffer, parser, kUseTuple);
+    http::response<http::string_body> answer;
+    bool should_close = false;
+    if (read_error == http::error::body_limit) {
+      answer =
+          ToBeast({.status = 413, .body = "the request body is too large\n"});
+      should_close = true;
+    } else if (read_error) {
+      break;
+    } else {
+      should_close = !parser.get().keep_alive();
+      stream.expires_never();
+      const bool is_head = parser.get().method() == http::verb::head;
+      answer = ToBeast(co_await state->handler(FromBeast(parser.release())));
+      if (is_head) answer.body().clear();
+    }
+    should_close = should_close || state->stopping;
+    answer.keep_alive(!should_close);
+    stream.expires_after(state->options.idle_timeout);
+    const auto [write_error, written] =
+        co_await http::async_write(stream, answer, kUseTuple);
+    if (write_error || should_close) break;
+  }
+  beast::error_code ignored;
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
+template <typename State>
+asio::awaitable<void> AcceptConnections(std::shared_ptr<State> state) {
+  while (!state->stopping) {
+    auto [error, socket] = co_await state->acceptor.async_accept(kUseTuple);
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) continue;
+    asio::co_spawn(state->acceptor.get_executor(),
+                   ServeConnection(state, std::move(socket)), asio::detached);
+  }
+}
+
+}  // namespace
+
+Result<HttpServer> HttpServer::Listen(const asio::any_io_executor& executor,
+                                      const asio::ip::tcp::endpoint& endpoint,
+                                      Options options, Handler handler) {
+  auto state = std::make_shared<State>(executor, options, std::move(handler));
+  boost::system::error_code error;
+  state->acceptor.open(endpoint.protocol(), error);
+  if (!error)
+    state->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) state->acceptor.bind(endpoint, error);
+  if (!error)
+    state->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return Fail(ErrorCode::kIo, "listen on " + endpoint.address().to_string() +
+                                    ":" + std::to_string(endpoint.port()) +
+                                    ": " + error.message());
+  }
+  asio::co_spawn(executor, AcceptConnections(state), asio::detached);
+  return HttpServer(std::move(state));
+}
+
+HttpServer::HttpServer(std::shared_ptr<State> state)
+    : state_(std::move(state)) {}
+HttpServer::~HttpServer() { Stop(); }
+HttpServer::HttpServer(HttpServer&&) noexcept = default;
+HttpServer& HttpServer::operator=(HttpServer&&) noexcept = default;
+
+asio::ip::tcp::endpoint HttpServer::local_endpoint() const {
+  return state_->acceptor.local_endpoint();
+}
+
+void HttpServer::Stop() {
+  if (!state_ || state_->stopping) return;
+  state_->stopping = true;
+  boost::system::error_code ignored;
+  state_->acceptor.close(ignored);
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Observe/event_catalogue.cc
@@ -0,0 +1,52 @@
+#include "Libraries/Observe/event_catalogue.h"
+
+#include <algorithm>
+#include <array>
+
+#include "Libraries/Core/verify.h"
+
+namespace dogwood {
+namespace {
+
+using enum EventLevel;
+
+constexpr auto kCatalogue = std::to_array<EventDescription>({
+    {EventId::kProcessStarted, kInfo, "process-started",
+     "The process accepts work."},
+    {EventId::kProcessStopped, kInfo, "process-stopped",
+     "The process ends; `cut` counts requests it ended early."},
+    {EventId::kStopRequested, kInfo, "stop-requested",
+     "A signal asked for a graceful shutdown."},
+    {EventId::kStopForced, kWarning, "stop-forced",
+     "A second signal or the stop deadline ended the shutdown early."},
+    {EventId::kStartFailed, kError, "start-failed",
+     "The process could not start; `error` says why."},
+    {EventId::kRequestAnswered, kDebug, "request-answered",
+     "A backend server's answer was passed to the caller."},
+    {EventId::kRequestNotRun, kInfo, "request-not-run",
+     "A request was refused before any backend server ran it."},
+    {EventId::kRequestOutcomeUnknown, kWarning, "request-outcome-unknown",
+     "A request may have run; its answer was lost."},
+    {EventId::kRequestMalformed, kInfo, "request-malformed",
+     "A caller's bytes broke HTTP framing; the connection was closed."},
+    {EventId::kBackendConnectionFailed, kWarning, "backend-connection-failed",
+     "A connection to a backend server was refused or lost."},
+    {EventId::kBackendAnswerInvalid, kWarning, "backend-answer-invalid",
+     "A backend server's answer was truncated, surplus, crossed or malformed."},
+});
+
+}  // namespace
+
+std::span<const EventDescription> EventCatalogue() { return kCatalogue; }
+
+const EventDescription& DescribeEvent(EventId id) {
+  const auto found =
+      std::lower_bound(kCatalogue.begin(), kCatalogue.end(), id,
+                       [](const EventDescription& description, EventId wanted) {
+                         return description.id < wanted;
+                       });
+  VERIFY(found != kCatalogue.end() && found->id == id);
+  return *found;
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Observe/event_catalogue.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace dogwood {
+
+enum class EventLevel { kDebug, kInfo, kWarning, kError };
+
+// Number of an event; its meaning never changes once released. docs/events.md
+// lists every number. Ranges: 1000 process, 2000 requests, 3000 routing, 4000
+// membership, 5000 settings and orders, 6000 usage, 7000 claims, 8000 platform
+// store, 9000 tests and stand-ins.
+enum class EventId : std::uint16_t {
+  kProcessStarted = 1000,
+  kProcessStopped = 1001,
+  kStopRequested = 1002,
+  kStopForced = 1003,
+  kStartFailed = 1004,
+  kRequestAnswered = 2000,
+  kRequestNotRun = 2001,
+  kRequestOutcomeUnknown = 2002,
+  kRequestMalformed = 2003,
+  kBackendConnectionFailed = 2100,
+  kBackendAnswerInvalid = 2101,
+};
+
+struct EventDescription {
+  EventId id;
+  EventLevel level;
+  std::string_view name;
+  std::string_view meaning;
+};
+
+// All events in ascending order of their numbers.
+std::span<const EventDescription> EventCatalogue();
+
+// The description of a catalogued event; an uncatalogued id is a broken
+// invariant.
+const EventDescription& DescribeEvent(EventId id);
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Observe/metrics_registry.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include "Libraries/Observe/latency_histogram.h"
+
+namespace dogwood {
+
+// A count that only rises.
+class Counter {
+ public:
+  void Add(std::uint64_t amount = 1) {
+    value_.fetch_add(amount, std::memory_order_relaxed);
+  }
+  std::uint64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<std::uint64_t> value_{0};
+};
+
+// A value that may rise and fall.
+class Gauge {
+ public:
+  void Set(std::int64_t value) {
+    value_.store(value, std::memory_order_relaxed);
+  }
+  void Add(std::int64_t amount) {
+    value_.fetch_add(amount, std::memory_order_relaxed);
+  }
+  std::int64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<std::int64_t> value_{0};
+};
+
+// Owns all counters, gauges and histograms of a process. Looking one up takes a
+// lock, so hot paths keep the returned reference, which stays valid as long as
+// the registry.
+class MetricsRegistry {
+ public:
+  // `labels` is the text between braces, for example `service="tracking"`; it
+  // may be empty.
+  Counter& CounterOf(const std::string& name, const std::string& labels = "");
+  Gauge& GaugeOf(const std::string& name, const std::string& labels = "");
+  // Exposed in seconds.
+  LatencyHistogram& HistogramOf(const std::string& name,
+                                const std::string& labels = "");
+
+  // All values in the text exposition format (version 0.0.4).
+  std::string ExpositionText() const;
+
+ private:
+  using Key = std::pair<std::string, std::string>;
+
+  mutable std::mutex mutex_;
+  std::map<Key, Counter> counters_;
+  std::map<Key, Gauge> gauges_;
+  std::map<Key, LatencyHistogram> histograms_;
+};
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Settings/settings.h
@@ -0,0 +1,4 @@
+// Public header of the Settings library.
+#pragma once
+
+#include "Libraries/Settings/fleet_configuration.h"
--- /dev/null
+++ b/Tests/Libraries/Observe/observe_test.cc
@@ -0,0 +1,63 @@
+#include "Libraries/Observe/observe.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+namespace dogwood {
+namespace {
+
+// Guards against an event that is documented wrongly or not at all.
+TEST_CASE("docs/events.md lists exactly the events of the catalogue") {
+  std::ifstream file(DOGWOOD_SOURCE_DIR "/docs/events.md");
+  REQUIRE(file.is_open());
+  std::stringstream expected;
+  std::stringstream actual;
+  for (const EventDescription& event : EventCatalogue()) {
+    expected << "| " << static_cast<int>(event.id) << " | " << event.name
+             << " | " << event.meaning << " |\n";
+  }
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("| ") && line.size() > 2 && std::isdigit(line[2]))
+      actual << line << "\n";
+  }
+  CHECK(actual.str() == expected.str());
+}
+
+TEST_CASE(
+    "The catalogue is in ascending order, as the binary search needs it") {
+  const auto catalogue = EventCatalogue();
+  for (std::size_t i = 1; i < catalogue.size(); ++i) {
+    CHECK(catalogue[i - 1].id < catalogue[i].id);
+  }
+}
+
+// Guards against bucket arithmetic that loses or shifts values.
+TEST_CASE("A quantile is at most one bucket above the true value") {
+  LatencyHistogram histogram;
+  for (int i = 1; i <= 10000; ++i)
+    histogram.Record(std::chrono::microseconds(i));
+  CHECK(histogram.count() == 10000);
+  CHECK(histogram.Quantile(0.5) >= std::chrono::microseconds(5000));
+  CHECK(histogram.Quantile(0.5) <= std::chrono::microseconds(5350));
+  CHECK(histogram.Quantile(0.99) >= std::chrono::microseconds(9900));
+  CHECK(histogram.Quantile(0.99) <= std::chrono::microseconds(10600));
+}
+
+TEST_CASE("Exposition text has one type line for each metric name") {
+  MetricsRegistry registry;
+  registry.CounterOf("requests_total", "service=\"a\"").Add(2);
+  registry.CounterOf("requests_total", "service=\"b\"").Add(3);
+  registry.GaugeOf("in_work").Set(-1);
+  CHECK(registry.ExpositionText() ==
+        "# TYPE requests_total counter\n"
+        "requests_total{service=\"a\"} 2\n"
+        "requests_total{service=\"b\"} 3\n"
+        "# TYPE in_work gauge\n"
+        "in_work -1\n");
+}
+
+}  // namespace
+}  // namespace dogwood
--- /dev/null
+++ b/scripts/packages.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Installs the Debian packages that the build needs; does nothing when all are there.
+set -euo pipefail
+packages=(g++ cmake ninja-build ccache clang clang-format clang-tidy libclang-rt-14-dev curl
+  libboost1.81-dev libspdlog-dev doctest-dev librapidcheck-dev libnghttp2-dev libssl-dev
+  nlohmann-json3-dev libxxhash-dev)
+missing=()
+for package in "${packages[@]}"; do
+  dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
+done
+[ ${#missing[@]} -eq 0 ] && exit 0
+echo "Installing: ${missing[*]}"
+install=(apt-get install -y -q "${missing[@]}")
+if [ "$(id -u)" -ne 0 ]; then install=(sudo "${install[@]}"); fi
+apt-get update -q || true
+DEBIAN_FRONTEND=noninteractive "${install[@]}"
