--- /dev/null
+++ b/Tests/StandIns/backend_process.cc
@@ -0,0 +1,288 @@
+#include "Tests/StandIns/backend_process.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::experimental::awaitable_operators::operator||;
+using Tcp = asio::ip::tcp;
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kChunkBytes = 64U * 1024U;
+
+std::int64_t WallMicroseconds() { return WallNow().time_since_epoch().count(); }
+
+std::int64_t NumberOf(beast::string_view text, std::int64_t fallback) {
+  std::int64_t value = fallback;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+// Reads and discards the body; false when the caller left or sent bad framing.
+asio::awaitable<bool> DiscardBody(
+    Tcp::socket& socket, beast::flat_buffer& buffer,
+    http::request_parser<http::buffer_body>& parser) {
+  std::vector<char> chunk(kChunkBytes);
+  while (!parser.is_done()) {
+    parser.get().body().data = chunk.data();
+    parser.get().body().size = chunk.size();
+    const auto [error, read] =
+        co_await http::async_read_some(socket, buffer, parser, kUseTuple);
+    if (error && error != http::error::need_buffer) co_return false;
+  }
+  co_return true;
+}
+
+// Waits until the wall time; false when the peer closed the connection before.
+asio::awaitable<bool> WaitUnlessClosed(Tcp::socket& socket,
+                                       std::int64_t until) {
+  asio::steady_timer timer(socket.get_executor());
+  timer.expires_after(std::chrono::microseconds(until - WallMicroseconds()));
+  const auto ended =
+      co_await (timer.async_wait(kUseTuple) ||
+                socket.async_wait(Tcp::socket::wait_read, kUseTuple));
+  if (ended.index() == 0) co_return true;
+  boost::system::error_code error;
+  if (socket.available(error) == 0) co_return false;
+  // The peer pipelined a request; finish this one first.
+  timer.expires_after(std::chrono::microseconds(until - WallMicroseconds()));
+  co_await timer.async_wait(kUseTuple);
+  co_return true;
+}
+
+}  // namespace
+
+struct BackendProcess::Server {
+  Server(asio::io_context& context, BackendServerModel::Options options)
+      : model(std::move(options)), acceptor(context) {}
+
+  BackendServerModel model;
+  Tcp::acceptor acceptor;
+  std::set<Tcp::socket*> connections;
+
+  // What a crash looks like from outside: all connections end without an
+  // answer.
+  void CloseConnections() {
+    for (Tcp::socket* socket : connections) {
+      boost::system::error_code ignored;
+      socket->close(ignored);
+    }
+  }
+};
+
+BackendProcess::BackendProcess(asio::io_context& context, Options options)
+    : context_(context), options_(std::move(options)) {
+  for (std::uint32_t i = 0; i < options_.count; ++i) {
+    BackendServerModel::Options server = options_.server;
+    server.name += "-" + std::to_string(i + 1);
+    server.index += i;
+    servers_.push_back(std::make_unique<Server>(context_, std::move(server)));
+  }
+}
+
+BackendProcess::~BackendProcess() = default;
+
+BackendServerModel& BackendProcess::server(std::size_t index) {
+  return servers_.at(index)->model;
+}
+
+Result<void> BackendProcess::Start() {
+  for (std::uint32_t i = 0; i < options_.count; ++i) {
+    TRY(Listen(*servers_[i], i));
+    asio::co_spawn(context_, Accept(*servers_[i]), asio::detached);
+  }
+  TRY_ASSIGN(control_,
+             HttpServer::Listen(context_.get_executor(), options_.control, {},
+                                [this](HttpRequest request) {
+                                  return HandleControl(std::move(request));
+                                }));
+  return outcome::success();
+}
+
+Result<void> BackendProcess::Listen(Server& server, std::uint32_t index) {
+  Tcp::endpoint endpoint = options_.first;
+  endpoint.port(static_cast<unsigned short>(endpoint.port() + index));
+  boost::system::error_code error;
+  server.acceptor.open(endpoint.protocol(), error);
+  if (!error)
+    server.acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) server.acceptor.bind(endpoint, error);
+  if (!error)
+    server.acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error)
+    return Fail(ErrorCode::kIo,
+                server.model.options().name + ": " + error.message());
+  return outcome::success();
+}
+
+asio::awaitable<void> BackendProcess::Accept(Server& server) {
+  while (true) {
+    auto [error, socket] = co_await server.acceptor.async_accept(kUseTuple);
+    if (error == asio::error::operation_aborted) co_return;
+    if (error || server.model.is_down(WallMicroseconds()) ||
+        server.connections.size() >= options_.connection_limit) {
+      boost::system::error_code ignored;
+      // A reset, as from a host whose process is gone.
+      socket.set_option(asio::socket_base::linger(true, 0), ignored);
+      socket.close(ignored);
+      continue;
+    }
+    socket.set_option(Tcp::no_delay(true));
+    asio::co_spawn(context_, Serve(server, std::move(socket)), asio::detached);
+  }
+}
+
+asio::awaitable<void> BackendProcess::Serve(Server& server,
+                                            Tcp::socket socket) {
+  server.connections.insert(&socket);
+  beast::flat_buffer buffer;
+  BackendServerModel& model = server.model;
+  while (true) {
+    http::request_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    const auto [error, read] =
+        co_await http::async_read_header(socket, buffer, parser, kUseTuple);
+    if (error) break;
+    const auto& request = parser.get();
+    const std::string fault(request["Standin-Fault"]);
+    http::response<http::string_body> answer;
+    answer.version(11);
+    answer.set("Dogwood-Start-Id", model.start_id());
+    if (request.target() == "/health" || request.target() == "/load") {
+      model.CountProbe();
+      answer.set("Dogwood-In-Work", std::to_string(model.in_work()));
+      answer.body() =
+          nlohmann::json{{"in_work", model.in_work()}, {"state", "ok"}}.dump();
+    } else {
+      const std::string request_id(request["Dogwood-Request-Id"]);
+      const std::uint64_t generation = model.generation();
+      const Admission admission =
+          model.Admit(WallMicroseconds(), fault == "crash",
+                      {request_id, std::string(request["Idempotency-Key"]),
+                       std::string(request["Dogwood-Party"])});
+      if (admission == Admission::kCrash) {
+        server.CloseConnections();
+        break;
+      }
+      if (admission == Admission::kShed) {
+        answer.result(http::status::service_unavailable);
+        answer.set("Dogwood-Shed", "not-run");
+        if (!co_await DiscardBody(socket, buffer, parser)) break;
+      } else {
+        const std::int64_t work =
+            NumberOf(request["Standin-Work-Us"], options_.default_work.count());
+        const std::int64_t until =
+            model.ScheduleWork(WallMicroseconds(), static_cast<double>(work));
+        const bool is_whole = co_await DiscardBody(socket, buffer, parser) &&
+                              co_await WaitUnlessClosed(socket, until);
+        if (model.generation() != generation) break;  // crashed meanwhile
+        if (!is_whole) {
+          model.Cancel();
+          break;
+        }
+        model.Finish(WallMicroseconds());
+        answer.set("Dogwood-Request-Id",
+                   fault == "crossed" ? "another-request" : request_id);
+        answer.set("Dogwood-In-Work", std::to_string(model.in_work()));
+        const auto size = static_cast<std::size_t>(
+            NumberOf(request["Standin-Response-Bytes"], 0));
+        answer.body() = request_id + "\n" + std::string(size, 'x');
+      }
+    }
+    answer.prepare_payload();
+    answer.keep_alive(parser.get().keep_alive());
+    if (request.method() == http::verb::head) answer.body().clear();
+    if (fault == "truncated") answer.content_length(answer.body().size() + 100);
+    const auto [write_error, written] =
+        co_await http::async_write(socket, answer, kUseTuple);
+    if (write_error || fault == "truncated" || !answer.keep_alive()) break;
+  }
+  server.connections.erase(&socket);
+}
+
+asio::awaitable<HttpResponse> BackendProcess::HandleControl(
+    HttpRequest request) {
+  const std::string_view path = PathOf(request.target);
+  if (path == "/stats") co_return HttpResponse{.body = StatisticsJson()};
+  if (path == "/runs") co_return HttpResponse{.body = RunsText()};
+  if (path == "/control" && request.method == "POST")
+    co_return ApplyAction(request);
+  co_return HttpResponse{.status = 404, .body = "no such path\n"};
+}
+
+HttpResponse BackendProcess::ApplyAction(const HttpRequest& request) {
+  const std::string action =
+      QueryParameter(request.target, "action").value_or("");
+  if (action == "reset") {
+    for (const auto& server : servers_) server->model.ResetStatistics();
+    return {.body = "ok\n"};
+  }
+  const std::string number =
+      QueryParameter(request.target, "server").value_or("0");
+  const std::int64_t index = NumberOf(number, -1);
+  if (index < 0 || static_cast<std::size_t>(index) >= servers_.size()) {
+    return {.status = 400, .body = "server must be the index of a server\n"};
+  }
+  Server& server = *servers_[static_cast<std::size_t>(index)];
+  if (action == "cold") {
+    server.model.TurnCold();
+  } else if (action == "crash") {
+    server.model.Crash(WallMicroseconds());
+    server.CloseConnections();
+  } else if (action == "drain" || action == "undrain") {
+    server.model.set_draining(action == "drain");
+  } else {
+    return {.status = 400,
+            .body = "action must be cold, crash, drain, undrain or reset\n"};
+  }
+  return {.body = "ok\n"};
+}
+
+std::string BackendProcess::StatisticsJson() const {
+  nlohmann::ordered_json rows = nlohmann::ordered_json::array();
+  for (const auto& server : servers_) {
+    const BackendServerModel::Statistics& statistics =
+        server->model.statistics();
+    rows.push_back({{"server", server->model.options().name},
+                    {"runs", statistics.runs},
+                    {"probes", statistics.probes},
+                    {"shed", statistics.shed},
+                    {"crashes", statistics.crashes},
+                    {"cancelled", statistics.cancelled},
+                    {"in_work", server->model.in_work()},
+                    {"is_cold", server->model.is_cold()},
+                    {"connections", server->connections.size()},
+                    {"max_in_work", statistics.max_in_work},
+                    {"max_in_work_cold", statistics.max_in_work_cold},
+                    {"last_start_of_work", statistics.last_start_of_work}});
+  }
+  return rows.dump() + "\n";
+}
+
+std::string BackendProcess::RunsText() const {
+  std::string text;
+  for (const auto& server : servers_) {
+    for (const RunRecord& record : server->model.records()) {
+      text += server->model.options().name + " " + record.request_id + " " +
+              (record.idempotency_key.empty() ? "-" : record.idempotency_key) +
+              " " + (record.party.empty() ? "-" : record.party) + "\n";
+    }
+  }
+  return text;
+}
+
+}  // namespace dogwood
