Timeline: Merge the event logs of all processes

Cause: what happened across hosts can only be seen by merging their logs. Change: dogwood-timeline merges by wall time, filters by request, change, host, availability zone and event number, and prints text or an HTML picture. Conclusion: lines cut short by a crash are counted, not fatal.

--- /dev/null
+++ b/Tests/Utilities/timeline/timeline_test.cc
@@ -0,0 +1,54 @@
+#include "Utilities/timeline/timeline.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+namespace dogwood {
+namespace {
+
+constexpr char kFirstLog[] =
+    R"({"wall":1000002,"host":"a","zone":"z1","process":"p","event":2001,"name":"n","request":"r1"}
+{"wall":1000009,"host":"a","zone":"z1","process":"p","event":1001,"name":"stopped","cut":0}
+{"wall":10000)";
+constexpr char kSecondLog[] =
+    R"({"wall":1000005,"host":"b","zone":"z2","process":"p","event":2000,"name":"m","request":"r1"})";
+
+std::vector<TimelineEvent> Merge(const TimelineFilter& filter) {
+  Timeline timeline;
+  std::istringstream first(kFirstLog);
+  std::istringstream second(kSecondLog);
+  // The last line of the first log was cut short by a crash.
+  CHECK(timeline.Add(first, filter) == 1);
+  CHECK(timeline.Add(second, filter) == 0);
+  return timeline.Sort();
+}
+
+TEST_CASE("Events of several processes are merged by wall time") {
+  const auto events = Merge({});
+  REQUIRE(events.size() == 3);
+  CHECK(events[0].host == "a");
+  CHECK(events[1].host == "b");
+  CHECK(TimelineText(events[2]) == "00:00:01.000009 a z1 p 1001 stopped cut=0");
+}
+
+TEST_CASE("Filters select by request, host, zone and number") {
+  CHECK(Merge({.request = "r1"}).size() == 2);
+  CHECK(Merge({.request = "r1", .host = "b"}).size() == 1);
+  CHECK(Merge({.zone = "z1"}).size() == 2);
+  CHECK(Merge({.lowest_number = 2000, .highest_number = 2000}).size() == 1);
+  CHECK(Merge({.change = "c"}).empty());
+}
+
+// Guards against markup in event fields, which callers can choose, becoming
+// part of the page.
+TEST_CASE("The HTML page escapes event fields") {
+  TimelineEvent event{.wall = 1, .host = "a", .process = "p", .name = "n"};
+  event.fields.emplace_back("error", "<script>");
+  const std::string html = TimelineHtml({event});
+  CHECK(html.find("<script>") == std::string::npos);
+  CHECK(html.find("error=&lt;script&gt;") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace dogwood
