--- /dev/null
+++ b/Libraries/Routing/fair_queue.cc
@@ -0,0 +1,92 @@
+#include "Libraries/Routing/fair_queue.h"
+
+#include <algorithm>
+
+namespace dogwood {
+
+void FairQueue::GrowTo(PartyIndex party) {
+  const std::size_t needed = FlowOf(party, AgreementClass::kOver) + 1;
+  if (flows_.size() >= needed) return;
+  flows_.resize(needed);
+  heap_.Resize(needed);
+}
+
+void FairQueue::SetShare(PartyIndex party, double share) {
+  GrowTo(party);
+  flows_[FlowOf(party, AgreementClass::kWithin)].share = share;
+  flows_[FlowOf(party, AgreementClass::kOver)].share = share;
+}
+
+FairQueue::Entry FairQueue::Push(const RouterRequest& request) {
+  GrowTo(request.party);
+  Entry entry = 0;
+  if (unused_.empty()) {
+    entry = static_cast<Entry>(entries_.size());
+    entries_.emplace_back();
+    unused_.reserve(entries_.capacity());
+  } else {
+    entry = unused_.back();
+    unused_.pop_back();
+  }
+  const std::uint32_t flow_index = FlowOf(request.party, request.agreement);
+  const auto agreement = static_cast<std::size_t>(request.agreement);
+  Flow& flow = flows_[flow_index];
+  Item& item = entries_[entry];
+  item.request = request;
+  item.start_tag = std::max(virtual_times_[agreement], flow.finish_tag);
+  flow.finish_tag = item.start_tag + 1 / flow.share;
+  item.order = next_order_++;
+  item.flow = flow_index;
+  item.previous = flow.last;
+  item.next = kNoIndex;
+  if (flow.last != kNoIndex) entries_[flow.last].next = entry;
+  flow.last = entry;
+  ++size_;
+  ++class_sizes_[agreement];
+  if (flow.first == kNoIndex) {
+    flow.first = entry;
+    UpdateHead(flow_index);
+  }
+  return entry;
+}
+
+void FairQueue::UpdateHead(std::uint32_t flow) {
+  const Entry first = flows_[flow].first;
+  if (first == kNoIndex) {
+    heap_.Remove(flow);
+    return;
+  }
+  const Item& item = entries_[first];
+  heap_.Put(flow, Key(item.request.agreement, item.start_tag,
+                      item.request.arrival, item.order));
+}
+
+void FairQueue::Remove(Entry entry) {
+  Item& item = entries_[entry];
+  Flow& flow = flows_[item.flow];
+  const bool was_first = flow.first == entry;
+  if (item.previous != kNoIndex) entries_[item.previous].next = item.next;
+  if (item.next != kNoIndex) entries_[item.next].previous = item.previous;
+  if (was_first) flow.first = item.next;
+  if (flow.last == entry) flow.last = item.previous;
+  --size_;
+  --class_sizes_[static_cast<std::size_t>(item.request.agreement)];
+  unused_.push_back(entry);
+  if (was_first) UpdateHead(item.flow);
+}
+
+void FairQueue::Serve(Entry entry) {
+  const Item& item = entries_[entry];
+  double& virtual_time =
+      virtual_times_[static_cast<std::size_t>(item.request.agreement)];
+  virtual_time = std::max(virtual_time, item.start_tag);
+  Remove(entry);
+}
+
+std::size_t FairQueue::bytes() const {
+  return entries_.capacity() * sizeof(Item) +
+         unused_.capacity() * sizeof(Entry) + flows_.capacity() * sizeof(Flow) +
+         heap_.bytes();
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Routing/linked_pool.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "Libraries/Routing/router_types.h"
+
+namespace dogwood {
+
+// Values under stable indexes, linked in the order of their addition. Allocates
+// only when the number of values reaches a new maximum.
+template <typename Value>
+class LinkedPool {
+ public:
+  std::uint32_t Add(Value value) {
+    std::uint32_t index = 0;
+    if (unused_.empty()) {
+      index = static_cast<std::uint32_t>(nodes_.size());
+      nodes_.emplace_back();
+      unused_.reserve(nodes_.capacity());
+    } else {
+      index = unused_.back();
+      unused_.pop_back();
+    }
+    Node& node = nodes_[index];
+    node.value = std::move(value);
+    node.is_used = true;
+    node.previous = last_;
+    node.next = kNoIndex;
+    (last_ == kNoIndex ? first_ : nodes_[last_].next) = index;
+    last_ = index;
+    ++size_;
+    return index;
+  }
+
+  void Remove(std::uint32_t index) {
+    Node& node = nodes_[index];
+    VERIFY(node.is_used);
+    node.is_used = false;
+    (node.previous == kNoIndex ? first_ : nodes_[node.previous].next) =
+        node.next;
+    (node.next == kNoIndex ? last_ : nodes_[node.next].previous) =
+        node.previous;
+    unused_.push_back(index);
+    --size_;
+  }
+
+  bool contains(std::uint32_t index) const {
+    return index < nodes_.size() && nodes_[index].is_used;
+  }
+  Value& operator[](std::uint32_t index) { return nodes_[index].value; }
+  const Value& operator[](std::uint32_t index) const {
+    return nodes_[index].value;
+  }
+  // The oldest value, or kNoIndex.
+  std::uint32_t first() const { return first_; }
+  std::uint32_t next(std::uint32_t index) const { return nodes_[index].next; }
+  std::size_t size() const { return size_; }
+  // Indexes are below this number.
+  std::size_t capacity() const { return nodes_.size(); }
+  std::size_t bytes() const {
+    return nodes_.capacity() * sizeof(Node) +
+           unused_.capacity() * sizeof(std::uint32_t);
+  }
+
+ private:
+  struct Node {
+    Value value{};
+    std::uint32_t previous = kNoIndex;
+    std::uint32_t next = kNoIndex;
+    bool is_used = false;
+  };
+
+  std::vector<Node> nodes_;
+  std::vector<std::uint32_t> unused_;
+  std::uint32_t first_ = kNoIndex;
+  std::uint32_t last_ = kNoIndex;
+  std::size_t size_ = 0;
+};
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Routing/parked_borrows.cc
@@ -0,0 +1,82 @@
+#include "Libraries/Routing/parked_borrows.h"
+
+#include "Libraries/Routing/rendezvous.h"
+
+namespace dogwood {
+
+std::size_t ParkedBorrows::BucketOf(HostIndex from,
+                                    std::uint64_t borrow_id) const {
+  return MixHashes(borrow_id, from) & (buckets_.size() - 1);
+}
+
+void ParkedBorrows::Rehash(std::size_t buckets) {
+  buckets_.assign(buckets, kNoIndex);
+  for (std::uint32_t index = pool_.first(); index != kNoIndex;
+       index = pool_.next(index)) {
+    Item& item = pool_[index];
+    std::uint32_t& head =
+        buckets_[BucketOf(item.borrow.from, item.borrow.borrow_id)];
+    item.next_in_bucket = head;
+    head = index;
+  }
+}
+
+void ParkedBorrows::Park(const BorrowRequest& borrow, TimePoint expires) {
+  const std::uint32_t index =
+      pool_.Add(Item{.borrow = borrow, .expires = expires});
+  heap_.Resize(pool_.capacity());
+  heap_.Put(index, Key(borrow.agreement, borrow.arrival));
+  if (pool_.capacity() > buckets_.size()) {
+    Rehash(buckets_.empty() ? 16 : 2 * buckets_.size());
+    return;
+  }
+  std::uint32_t& head = buckets_[BucketOf(borrow.from, borrow.borrow_id)];
+  pool_[index].next_in_bucket = head;
+  head = index;
+}
+
+void ParkedBorrows::Remove(std::uint32_t index) {
+  const Item& item = pool_[index];
+  std::uint32_t* link =
+      &buckets_[BucketOf(item.borrow.from, item.borrow.borrow_id)];
+  while (*link != index) link = &pool_[*link].next_in_bucket;
+  *link = item.next_in_bucket;
+  heap_.Remove(index);
+  pool_.Remove(index);
+}
+
+void ParkedBorrows::Cancel(HostIndex from, std::uint64_t borrow_id) {
+  if (buckets_.empty()) return;
+  std::uint32_t index = buckets_[BucketOf(from, borrow_id)];
+  while (index != kNoIndex) {
+    const Item& item = pool_[index];
+    if (item.borrow.from == from && item.borrow.borrow_id == borrow_id) {
+      Remove(index);
+      return;
+    }
+    index = item.next_in_bucket;
+  }
+}
+
+void ParkedBorrows::CancelAllOf(HostIndex from) {
+  std::uint32_t index = pool_.first();
+  while (index != kNoIndex) {
+    const std::uint32_t next = pool_.next(index);
+    if (pool_[index].borrow.from == from) Remove(index);
+    index = next;
+  }
+}
+
+void ParkedBorrows::Expire(TimePoint now, std::vector<BorrowRequest>& expired) {
+  while (pool_.first() != kNoIndex && pool_[pool_.first()].expires <= now) {
+    expired.push_back(pool_[pool_.first()].borrow);
+    Remove(pool_.first());
+  }
+}
+
+std::size_t ParkedBorrows::bytes() const {
+  return pool_.bytes() + heap_.bytes() +
+         buckets_.capacity() * sizeof(std::uint32_t);
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Routing/rendezvous.cc
@@ -0,0 +1,11 @@
+#include "Libraries/Routing/rendezvous.h"
+
+#include <xxhash.h>
+
+namespace dogwood {
+
+std::uint64_t NameHash(std::string_view name) {
+  return XXH3_64bits(name.data(), name.size());
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Routing/rendezvous.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace dogwood {
+
+// Hash of a name, equal on all hosts.
+std::uint64_t NameHash(std::string_view name);
+
+// Mixes two hashes into a well distributed one (finalizer of SplitMix64).
+constexpr std::uint64_t MixHashes(std::uint64_t left, std::uint64_t right) {
+  std::uint64_t value = left + 0x9e3779b97f4a7c15ULL * (right + 1);
+  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+  return value ^ (value >> 31);
+}
+
+// Weight of a host for one slot; the live host with the greatest weight owns
+// it.
+constexpr std::uint64_t RendezvousWeight(std::uint64_t host,
+                                         std::uint64_t server,
+                                         std::uint32_t slot) {
+  return MixHashes(MixHashes(host, server), slot);
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Routing/service_router_fleet.cc
@@ -0,0 +1,120 @@
+// The view of the fleet in the ServiceRouter.
+#include <algorithm>
+
+#include "Libraries/Routing/rendezvous.h"
+#include "Libraries/Routing/service_router.h"
+
+namespace dogwood {
+
+HostIndex ServiceRouter::InternHost(const HostId& id) {
+  const auto [found, is_new] = host_indexes_.try_emplace(
+      id.value(), static_cast<HostIndex>(hosts_.size()));
+  if (is_new) {
+    hosts_.push_back(id);
+    host_hashes_.push_back(NameHash(id.value()));
+    is_alive_.push_back(false);
+  }
+  return found->second;
+}
+
+void ServiceRouter::ApplyServers(const RouterFleet& fleet,
+                                 std::vector<ServerIndex>& changed) {
+  std::vector<bool> is_listed(backends_.size(), false);
+  for (const RouterServer& server : fleet.servers) {
+    const auto [found, is_new] = server_indexes_.try_emplace(
+        server.id.value(), static_cast<ServerIndex>(backends_.size()));
+    const ServerIndex index = found->second;
+    if (is_new) {
+      // Servers known from the start are assumed warm until a sign; peers send
+      // the state of those that are not. A server added later starts cold.
+      backends_.emplace_back(
+          server, has_fleet_ ? BackendState::kCold : BackendState::kFull,
+          options_);
+      permits_.AddServer(NameHash(server.id.value()), server.slots);
+      permits_.SetUsable(index, backends_[index].usable_slots());
+      continue;
+    }
+    if (index < is_listed.size()) is_listed[index] = true;
+    if (backends_[index].Configure(server) == BackendServer::Change::kShared) {
+      changed.push_back(index);
+    }
+    permits_.SetSlots(index, server.slots);
+    RefreshServer(index);
+  }
+  for (ServerIndex index = 0; index < is_listed.size(); ++index) {
+    if (is_listed[index] || backends_[index].configuration().is_out) continue;
+    RouterServer removed = backends_[index].configuration();
+    removed.is_out = true;
+    backends_[index].Configure(removed);
+    RefreshServer(index);
+  }
+}
+
+void ServiceRouter::ApplyView(const RouterFleet& fleet, TimePoint now,
+                              RouterActions& actions) {
+  std::vector<HostIndex> alive;
+  std::vector<HostIndex> joined;
+  for (const HostId& host : fleet.hosts) alive.push_back(InternHost(host));
+  std::sort(alive.begin(), alive.end());
+  alive.erase(std::unique(alive.begin(), alive.end()), alive.end());
+  std::vector<bool> is_alive(hosts_.size(), false);
+  for (const HostIndex host : alive) {
+    is_alive[host] = true;
+    if (has_fleet_ && !is_alive_[host]) joined.push_back(host);
+  }
+  for (HostIndex host = 0; host < hosts_.size(); ++host) {
+    if (is_alive_[host] && !is_alive[host]) parked_.CancelAllOf(host);
+  }
+  is_alive_ = std::move(is_alive);
+  live_hosts_ = alive.size();
+
+  // The state of each server goes to a joining host from the owner of its first
+  // slot before the join.
+  for (ServerIndex server = 0; server < backends_.size() && !joined.empty();
+       ++server) {
+    if (permits_.owner(server, 0) != self_) continue;
+    if (backends_[server].sequence() == 0) continue;
+    for (const HostIndex host : joined) Publish(server, host, actions);
+  }
+  std::vector<PermitTable::Handover> handovers;
+  permits_.ApplyHosts(host_hashes_, alive, self_, now, handovers);
+  for (const PermitTable::Handover& handover : handovers) {
+    actions.push_back(
+        {.kind = RouterAction::Kind::kSlotBusy,
+         .host = handover.new_owner,
+         .permit = {.server = handover.server, .slot = handover.slot}});
+  }
+  for (std::uint32_t record = lent_.first(); record != kNoIndex;
+       record = lent_.next(record)) {
+    LentPermit& lent = lent_[record];
+    if (is_alive_[lent.borrower]) {
+      lent.reclaim_at = TimePoint::max();
+    } else if (lent.reclaim_at == TimePoint::max()) {
+      lent.reclaim_at = now + options_.permit_takeover_delay;
+    }
+  }
+  std::vector<HostIndex> peers;
+  for (const HostIndex host : alive) {
+    if (host != self_ && permits_.owned_permits(host) > 0) {
+      peers.push_back(host);
+    }
+  }
+  peers_.SetPeers(std::move(peers), hosts_.size());
+}
+
+void ServiceRouter::ApplyFleet(const RouterFleet& fleet, TimePoint now,
+                               RouterActions& actions) {
+  self_ = InternHost(fleet.self);
+  lease_.set_is_exempt(fleet.lease_rule == LeaseRule::kLoneHost);
+  Advance(now);
+  std::vector<ServerIndex> changed;
+  ApplyServers(fleet, changed);
+  ApplyView(fleet, now, actions);
+  has_fleet_ = true;
+  for (const ServerIndex server : changed) {
+    Publish(server, kNoIndex, actions);
+  }
+  ServeAll(now, actions);
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Routing/service_router_queue.cc
@@ -0,0 +1,122 @@
+// Waiting requests of the ServiceRouter.
+#include <algorithm>
+
+#include "Libraries/Routing/rendezvous.h"
+#include "Libraries/Routing/service_router.h"
+
+namespace dogwood {
+
+std::size_t ServiceRouter::BucketOf(std::uint64_t request_id) const {
+  return MixHashes(request_id, 0) & (request_buckets_.size() - 1);
+}
+
+void ServiceRouter::LinkRequest(FairQueue::Entry entry) {
+  FairQueue::Entry& head = request_buckets_[BucketOf(queue_.request(entry).id)];
+  waiting_[entry].next_in_bucket = head;
+  head = entry;
+}
+
+void ServiceRouter::UnlinkRequest(FairQueue::Entry entry) {
+  FairQueue::Entry* link =
+      &request_buckets_[BucketOf(queue_.request(entry).id)];
+  while (*link != entry) link = &waiting_[*link].next_in_bucket;
+  *link = waiting_[entry].next_in_bucket;
+}
+
+FairQueue::Entry ServiceRouter::Enqueue(const RouterRequest& request) {
+  const FairQueue::Entry entry = queue_.Push(request);
+  if (entry >= waiting_.size()) {
+    waiting_.resize(entry + 1);
+    deadlines_.Resize(entry + 1);
+  }
+  waiting_[entry] = Waiting{};
+  deadlines_.Put(entry, request.deadline);
+  if (queue_.size() > request_buckets_.size()) {
+    const std::size_t buckets =
+        std::max<std::size_t>(16, 2 * request_buckets_.size());
+    request_buckets_.assign(buckets, kNoIndex);
+    for (std::size_t position = 0; position < deadlines_.size(); ++position) {
+      LinkRequest(deadlines_.at(position));
+    }
+  } else {
+    LinkRequest(entry);
+  }
+  return entry;
+}
+
+void ServiceRouter::Dequeue(FairQueue::Entry entry, bool is_served,
+                            TimePoint now, RouterActions& actions) {
+  (void)now;
+  Waiting& waiting = waiting_[entry];
+  for (std::uint32_t index = 0; index < waiting.borrow_count; ++index) {
+    const std::uint32_t borrow = waiting.borrows[index];
+    actions.push_back({.kind = RouterAction::Kind::kCancelBorrow,
+                       .host = own_borrows_[borrow].peer,
+                       .borrow_id = own_borrows_[borrow].id});
+    own_borrows_.Remove(borrow);
+  }
+  waiting.borrow_count = 0;
+  deadlines_.Remove(entry);
+  UnlinkRequest(entry);
+  if (is_served) {
+    queue_.Serve(entry);
+  } else {
+    queue_.Remove(entry);
+  }
+}
+
+void ServiceRouter::ServeFrom(ServerIndex server, TimePoint now,
+                              RouterActions& actions) {
+  if (!can_use_own(now)) return;
+  while (permits_.has_free(server)) {
+    const bool is_first_free = permits_.is_first_slot_free(server);
+    const FairQueue::Entry entry =
+        queue_.FindHead([&](const RouterRequest& request) {
+          return is_acceptable(request, server, is_first_free);
+        });
+    const std::uint32_t parked = parked_.Find([&](const BorrowRequest& borrow) {
+      return borrow.excluded != server && (!borrow.is_suspect || is_first_free);
+    });
+    if (entry == kNoIndex && parked == kNoIndex) return;
+    bool should_lend = entry == kNoIndex;
+    if (entry != kNoIndex && parked != kNoIndex) {
+      const RouterRequest& request = queue_.request(entry);
+      should_lend = parked_.key(parked) <=
+                    ParkedBorrows::Key(request.agreement, request.arrival);
+    }
+    if (should_lend) {
+      const BorrowRequest borrow = parked_.borrow(parked);
+      parked_.Remove(parked);
+      Lend(borrow, server, now, actions);
+      continue;
+    }
+    const RouterRequest request = queue_.request(entry);
+    const Permit permit = TakePermit(server, request.is_suspect);
+    actions.push_back({.kind = RouterAction::Kind::kGrant,
+                       .request = request.id,
+                       .permit = permit});
+    Dequeue(entry, true, now, actions);
+  }
+}
+
+void ServiceRouter::ServeAll(TimePoint now, RouterActions& actions) {
+  if (queue_.empty() && parked_.empty()) return;
+  for (ServerIndex server = 0;
+       server < backends_.size() && permits_.free_permits() > 0; ++server) {
+    ServeFrom(server, now, actions);
+    if (queue_.empty() && parked_.empty()) return;
+  }
+}
+
+void ServiceRouter::ExpireRequests(TimePoint now, RouterActions& actions) {
+  while (!deadlines_.empty() && deadlines_.key(deadlines_.top()) <= now) {
+    const FairQueue::Entry entry = deadlines_.top();
+    actions.push_back({.kind = RouterAction::Kind::kRefuse,
+                       .request = queue_.request(entry).id,
+                       .reason = RefusalReason::kDeadlineTooShort,
+                       .retry_after = ExpectedWait(AgreementClass::kOver)});
+    Dequeue(entry, false, now, actions);
+  }
+}
+
+}  // namespace dogwood
