--- /dev/null
+++ b/Libraries/Routing/crash_suspects.cc
@@ -0,0 +1,151 @@
+#include "Libraries/Routing/crash_suspects.h"
+
+#include <algorithm>
+
+#include "Libraries/Routing/rendezvous.h"
+
+namespace dogwood {
+
+void CrashSuspects::OnStart(const ServerId& server, std::uint64_t fingerprint,
+                            TimePoint now) {
+  servers_[server.value()].running.push_back({fingerprint, now});
+}
+
+void CrashSuspects::OnEnd(const ServerId& server, std::uint64_t fingerprint,
+                          Outcome outcome, TimePoint now, Records& changes) {
+  Server& state = servers_[server.value()];
+  const auto running = std::find_if(
+      state.running.begin(), state.running.end(),
+      [&](const Running& item) { return item.fingerprint == fingerprint; });
+  VERIFY(running != state.running.end());
+  const TimePoint started = running->since;
+  *running = state.running.back();
+  state.running.pop_back();
+  if (outcome == Outcome::kSucceeded) {
+    const auto found = entries_.find(fingerprint);
+    // Blame for two crashes stands until it expires.
+    if (found == entries_.end() || found->second.crashes[1] != 0) return;
+    entries_.erase(found);
+    changes.push_back({.fingerprint = fingerprint, .is_cleared = true});
+    return;
+  }
+  if (outcome != Outcome::kLost) return;
+  const bool is_late = state.crashed_at != TimePoint::min() &&
+                       started <= state.crashed_at &&
+                       now - state.crashed_at <= kLateLoss;
+  if (!is_late) {
+    std::erase_if(state.lost, [&](const Running& item) {
+      return now - item.since > kLossWindow;
+    });
+    state.lost.push_back({fingerprint, now});
+    return;
+  }
+  if (!state.had_suspect || is_blamed(fingerprint)) {
+    Blame(fingerprint, state.crash_id, now, changes);
+  }
+}
+
+void CrashSuspects::OnCrash(const ServerId& server, const std::string& start_id,
+                            TimePoint now, Records& changes) {
+  Server& state = servers_[server.value()];
+  std::erase_if(state.lost, [&](const Running& item) {
+    return now - item.since > kLossWindow;
+  });
+  // A second confirmation of the same crash.
+  if (state.lost.empty() && state.crashed_at != TimePoint::min() &&
+      now - state.crashed_at <= kLateLoss) {
+    return;
+  }
+  ++state.crash_count;
+  state.crashed_at = now;
+  state.crash_id =
+      MixHashes(NameHash(server.value()),
+                start_id.empty() ? state.crash_count : NameHash(start_id));
+  state.had_suspect =
+      std::any_of(
+          state.lost.begin(), state.lost.end(),
+          [&](const Running& item) { return is_blamed(item.fingerprint); }) ||
+      std::any_of(
+          state.running.begin(), state.running.end(),
+          [&](const Running& item) { return is_blamed(item.fingerprint); });
+  for (const Running& item : state.lost) {
+    if (!state.had_suspect || is_blamed(item.fingerprint)) {
+      Blame(item.fingerprint, state.crash_id, now, changes);
+    }
+  }
+  state.lost.clear();
+}
+
+bool CrashSuspects::AddCrash(Entry& entry, std::uint64_t crash) {
+  if (crash == 0 || entry.crashes[0] == crash || entry.crashes[1] == crash) {
+    return false;
+  }
+  if (entry.crashes[0] == 0) {
+    entry.crashes[0] = crash;
+    return true;
+  }
+  if (entry.crashes[1] != 0) return false;
+  entry.crashes[1] = crash;
+  return true;
+}
+
+void CrashSuspects::Blame(std::uint64_t fingerprint, std::uint64_t crash,
+                          TimePoint now, Records& changes) {
+  MakeRoom(now);
+  Entry& entry = entries_[fingerprint];
+  if (!AddCrash(entry, crash)) return;
+  entry.blamed_at = now;
+  changes.push_back({.fingerprint = fingerprint, .crashes = entry.crashes});
+}
+
+void CrashSuspects::MakeRoom(TimePoint now) {
+  std::erase_if(entries_, [&](const auto& item) {
+    return now - item.second.blamed_at > kRefusalTime;
+  });
+  if (entries_.size() < kMaximumEntries) return;
+  const auto oldest =
+      std::min_element(entries_.begin(), entries_.end(),
+                       [](const auto& left, const auto& right) {
+                         return left.second.blamed_at < right.second.blamed_at;
+                       });
+  entries_.erase(oldest);
+}
+
+void CrashSuspects::Merge(const SuspectRecord& record, TimePoint now) {
+  if (record.is_cleared) {
+    const auto found = entries_.find(record.fingerprint);
+    if (found != entries_.end() && found->second.crashes[1] == 0) {
+      entries_.erase(found);
+    }
+    return;
+  }
+  MakeRoom(now);
+  Entry& entry = entries_[record.fingerprint];
+  bool has_changed = false;
+  for (const std::uint64_t crash : record.crashes) {
+    has_changed |= AddCrash(entry, crash);
+  }
+  if (has_changed) entry.blamed_at = now;
+}
+
+bool CrashSuspects::is_suspect(std::uint64_t fingerprint, TimePoint now) const {
+  const auto found = entries_.find(fingerprint);
+  return found != entries_.end() &&
+         now - found->second.blamed_at <= kRefusalTime;
+}
+
+bool CrashSuspects::is_refused(std::uint64_t fingerprint, TimePoint now) const {
+  const auto found = entries_.find(fingerprint);
+  return found != entries_.end() && found->second.crashes[1] != 0 &&
+         now - found->second.blamed_at <= kRefusalTime;
+}
+
+CrashSuspects::Records CrashSuspects::All() const {
+  Records records;
+  for (const auto& [fingerprint, entry] : entries_) {
+    records.push_back({.fingerprint = fingerprint, .crashes = entry.crashes});
+  }
+  return records;
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Routing/probe_budget.cc
@@ -0,0 +1,84 @@
+#include "Libraries/Routing/probe_budget.h"
+
+#include <algorithm>
+
+#include "Libraries/Routing/rendezvous.h"
+
+namespace dogwood {
+namespace {
+
+// Takes the place of the slot index in the rendezvous hash; greater than any
+// slot.
+constexpr std::uint32_t kProberSlot = kMaximumSlots;
+
+}  // namespace
+
+ProbeBudget::ProbeBudget(Duration permit_lease, Duration takeover_delay)
+    : takeover_delay_(takeover_delay), lease_(permit_lease, takeover_delay) {}
+
+void ProbeBudget::UpdateProber(Entry& entry, TimePoint now) const {
+  bool is_mine = !host_hashes_.empty();
+  const std::uint64_t own =
+      RendezvousWeight(self_hash_, entry.name_hash, kProberSlot);
+  for (const std::uint64_t host : host_hashes_) {
+    if (RendezvousWeight(host, entry.name_hash, kProberSlot) > own) {
+      is_mine = false;
+    }
+  }
+  if (is_mine && !entry.is_mine) entry.filling_since = now + takeover_delay_;
+  entry.is_mine = is_mine;
+}
+
+void ProbeBudget::SetServer(const ServerId& server, double probes_per_second,
+                            TimePoint now) {
+  Entry& entry = entries_[server.value()];
+  if (probes_per_second != entry.probes_per_second) {
+    entry.filling_since = std::max(entry.filling_since, now);
+  }
+  entry.name_hash = NameHash(server.value());
+  entry.probes_per_second = std::max(0.0, probes_per_second);
+  UpdateProber(entry, now);
+}
+
+void ProbeBudget::RemoveServer(const ServerId& server) {
+  entries_.erase(server.value());
+}
+
+void ProbeBudget::ApplyHosts(const std::vector<HostId>& hosts,
+                             const HostId& self, LeaseRule lease_rule,
+                             TimePoint now) {
+  lease_.set_is_exempt(lease_rule == LeaseRule::kLoneHost);
+  lease_.Advance(now);
+  host_hashes_.clear();
+  for (const HostId& host : hosts) {
+    host_hashes_.push_back(NameHash(host.value()));
+  }
+  self_hash_ = NameHash(self.value());
+  for (auto& [name, entry] : entries_) UpdateProber(entry, now);
+}
+
+void ProbeBudget::SetLeaseRenewed(TimePoint sent_at, TimePoint now) {
+  lease_.Renew(sent_at, now);
+}
+
+bool ProbeBudget::try_take(const ServerId& server, TimePoint now) {
+  lease_.Advance(now);
+  const auto found = entries_.find(server.value());
+  if (found == entries_.end()) return false;
+  Entry& entry = found->second;
+  if (!entry.is_mine || entry.probes_per_second <= 0 || !lease_.is_valid(now)) {
+    return false;
+  }
+  const TimePoint since = std::max(entry.filling_since, lease_.usable_from());
+  const double elapsed = std::chrono::duration<double>(now - since).count();
+  if (now < since || elapsed * entry.probes_per_second < 1) return false;
+  entry.filling_since = now;
+  return true;
+}
+
+bool ProbeBudget::is_prober(const ServerId& server) const {
+  const auto found = entries_.find(server.value());
+  return found != entries_.end() && found->second.is_mine;
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Routing/zone_limits.cc
@@ -0,0 +1,92 @@
+#include "Libraries/Routing/zone_limits.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "Libraries/Routing/rendezvous.h"
+
+namespace dogwood {
+namespace {
+
+struct Share {
+  std::pair<ServiceId, ServerId> server;
+  std::uint32_t slots = 0;
+  std::uint64_t remainder = 0;
+  std::uint64_t hash = 0;  // order among equal remainders
+};
+
+// Largest remainder method.
+void ScaleDown(std::vector<Share>& shares, std::uint64_t total,
+               std::uint64_t limit) {
+  std::uint64_t given = 0;
+  for (Share& share : shares) {
+    const std::uint64_t scaled = share.slots * limit;
+    share.slots = static_cast<std::uint32_t>(scaled / total);
+    share.remainder = scaled % total;
+    given += share.slots;
+  }
+  std::sort(shares.begin(), shares.end(),
+            [](const Share& left, const Share& right) {
+              return std::tie(right.remainder, left.hash, left.server) <
+                     std::tie(left.remainder, right.hash, right.server);
+            });
+  for (Share& share : shares) {
+    if (given == limit) return;
+    ++share.slots;
+    ++given;
+  }
+}
+
+}  // namespace
+
+ZoneLimits::ZoneLimits(const FleetConfiguration& configuration) {
+  std::map<ZoneId, std::vector<Share>> zones;
+  for (const auto& [service_id, service] : configuration.services) {
+    for (const auto& [server_id, server] : service.servers) {
+      zones[server.zone].push_back(
+          {.server = {service_id, server_id},
+           .slots = std::min(server.slots, kMaximumSlots),
+           .hash = MixHashes(NameHash(service_id.value()),
+                             NameHash(server_id.value()))});
+    }
+  }
+  for (auto& [zone_id, shares] : zones) {
+    std::uint64_t total = 0;
+    for (const Share& share : shares) total += share.slots;
+    const auto zone = configuration.zones.find(zone_id);
+    const std::uint32_t limit =
+        zone == configuration.zones.end() ? 0 : zone->second.limit;
+    if (limit != 0 && total > limit) ScaleDown(shares, total, limit);
+    for (const Share& share : shares) slots_[share.server] = share.slots;
+  }
+}
+
+std::uint32_t ZoneLimits::slots(const ServiceId& service,
+                                const ServerId& server) const {
+  const auto found = slots_.find({service, server});
+  return found == slots_.end() ? 0 : found->second;
+}
+
+RouterFleet MakeRouterFleet(const FleetConfiguration& configuration,
+                            const ZoneLimits& limits, const ServiceId& service,
+                            std::vector<HostId> hosts, const HostId& self,
+                            LeaseRule lease_rule) {
+  RouterFleet fleet{
+      .hosts = std::move(hosts), .self = self, .lease_rule = lease_rule};
+  const auto found = configuration.services.find(service);
+  if (found == configuration.services.end()) return fleet;
+  for (const auto& [id, server] : found->second.servers) {
+    const auto zone = configuration.zones.find(server.zone);
+    const bool is_zone_out = zone != configuration.zones.end() &&
+                             zone->second.placement == Placement::kOut;
+    fleet.servers.push_back(
+        {.id = id,
+         .zone = server.zone,
+         .slots = server.slots,
+         .zone_slots = limits.slots(service, id),
+         .is_out = is_zone_out || server.placement == Placement::kOut});
+  }
+  return fleet;
+}
+
+}  // namespace dogwood
