Membership, PeerLink: Add the member table and messages over HTTP/2

Cause: hosts need a shared view of each other and a cheap way to exchange messages. Change: Libraries/Membership has MemberTable with incarnations, refutations, suspicion and bounded changes per ping. Libraries/PeerLink has PeerServer and PeerClient with nghttp2 streams on Asio. Conclusion: PeerExchange can be built on both.

--- /dev/null
+++ b/Libraries/PeerLink/http2_connection.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "Libraries/Core/core.h"
+#include "Libraries/PeerLink/link_counters.h"
+
+struct nghttp2_session;
+
+namespace dogwood {
+
+// One HTTP/2 connection over TCP with whole messages on its streams. Used on
+// one thread. The virtual functions are called outside of nghttp2's callbacks,
+// so they may submit, reset and close.
+class Http2Connection : public std::enable_shared_from_this<Http2Connection> {
+ public:
+  enum class Role { kClient, kServer };
+
+  struct Limits {
+    std::size_t message_bytes = 1U << 20U;
+    // Bodies that wait for the socket; a request above it is refused.
+    std::size_t queued_bytes = 8U << 20U;
+    std::uint32_t concurrent_streams = 4096;
+  };
+
+  struct Header {
+    std::string_view name;
+    std::string_view value;
+  };
+
+  Http2Connection(boost::asio::ip::tcp::socket socket, Role role, Limits limits,
+                  std::shared_ptr<LinkCounters> counters);
+  virtual ~Http2Connection();
+  Http2Connection(const Http2Connection&) = delete;
+  Http2Connection& operator=(const Http2Connection&) = delete;
+
+  void Start();
+  // Ends all streams and the connection at once.
+  void Close();
+  // Refuses new streams and closes when the open ones have ended.
+  void Drain();
+  bool is_open() const { return is_open_; }
+  // False after the peer announced that it drains.
+  bool can_open_stream() const;
+  // Time of the newest byte received.
+  TimePoint newest_receipt() const { return newest_receipt_; }
+  std::size_t open_streams() const { return streams_.size(); }
+  // Adds the segment counts of the open connection to `counters`.
+  void AddSegments(LinkCounters& counters) const;
+
+ protected:
+  struct Message {
+    std::int32_t stream = 0;
+    std::uint64_t call = 0;  // as given to SubmitRequest
+    int status = 0;
+    std::string method;
+    std::string path;
+    std::string version;
+    std::string sender;
+    std::string incarnation;
+    std::vector<std::uint8_t> body;
+    bool is_too_large = false;  // the body was dropped
+  };
+
+  // How a stream ended without a whole message.
+  enum class Loss {
+    kNotSent,  // the peer did not process it
+    kUnknown,
+  };
+
+  virtual void OnMessage(Message message) = 0;
+  virtual void OnLoss(std::uint64_t call, Loss loss) = 0;
+  virtual void OnClosed() = 0;
+
+  // Returns the stream id, or nothing when no stream can be opened.
+  std::optional<std::int32_t> SubmitRequest(std::span<const Header> headers,
+                                            std::vector<std::uint8_t> body,
+                                            std::uint64_t call);
+  // Does nothing when the stream has ended.
+  void SubmitResponse(std::int32_t id, std::span<const Header> headers,
+                      std::vector<std::uint8_t> body);
+  void ResetStream(std::int32_t id);
+  // True when the headers of the stream were handed to the socket.
+  bool is_sent(std::int32_t id) const;
+  bool has_room(std::size_t bytes) const {
+    return queued_bytes_ + bytes <= limits_.queued_bytes;
+  }
+  const Limits& limits() const { return limits_; }
+  boost::asio::any_io_executor executor() { return socket_.get_executor(); }
+
+ private:
+  static constexpr std::size_t kReadBytes = 16U << 10U;
+
+  struct Callbacks;
+  struct Stream {
+    Message message;
+    std::vector<std::uint8_t> outgoing;
+    std::size_t outgoing_offset = 0;
+    bool is_sent = false;
+    bool has_message = false;
+  };
+  struct Event {
+    Message message;
+    bool is_message = false;
+    Loss loss = Loss::kUnknown;
+  };
+
+  Stream* StreamOf(std::int32_t id);
+  void Read();
+  void ScheduleFlush();
+  void Flush();
+  void Deliver();
+
+  boost::asio::ip::tcp::socket socket_;
+  Role role_;
+  Limits limits_;
+  // Connections outlive the client or server that opened them.
+  std::shared_ptr<LinkCounters> counters_;
+  nghttp2_session* session_ = nullptr;
+  std::unordered_map<std::int32_t, Stream> streams_;
+  std::vector<Event> events_;
+  std::vector<std::uint8_t> output_;
+  std::size_t queued_bytes_ = 0;
+  TimePoint newest_receipt_;
+  bool is_open_ = true;
+  bool is_draining_ = false;
+  bool is_writing_ = false;
+  bool is_flush_scheduled_ = false;
+  bool is_delivering_ = false;
+  std::array<std::uint8_t, kReadBytes> input_;
+};
+
+}  // namespace dogwood
--- a/Services/Entry/peer_channel.h
+++ b/Services/Entry/peer_channel.h
@@ -8,20 +8,10 @@
 #include <vector>
 
 #include "Libraries/Core/core.h"
+#include "Libraries/Membership/member.h"
 
 namespace dogwood {
 
-enum class MemberState { kAlive, kSuspect, kLeaving };
-
-// Another entry host as this host sees it. Removed hosts are not listed.
-struct Member {
-  HostId host;
-  ZoneId zone;
-  Incarnation incarnation;
-  MemberState state = MemberState::kAlive;
-  std::string peer_address;  // IP:PORT
-};
-
 // Messages between entry hosts and the view of who is there. Implemented by
 // PeerExchange over nghttp2 and by fakes in tests. Used on the control thread.
 class PeerChannel {
