--- a/Libraries/Observe/event_catalogue.cc
+++ b/Libraries/Observe/event_catalogue.cc
@@ -29,6 +29,13 @@
      "A request may have run; its answer was lost."},
     {EventId::kRequestMalformed, kInfo, "request-malformed",
      "A caller's bytes broke HTTP framing; the connection was closed."},
+    {EventId::kResponseCut, kWarning, "response-cut",
+     "A response ended after a part of it was passed to the caller."},
+    {EventId::kRequestCancelled, kInfo, "request-cancelled",
+     "The caller left before its response; `handed_over` tells whether a "
+     "backend server had the request."},
+    {EventId::kRequestAlreadyAnswered, kInfo, "request-already-answered",
+     "A resend of an answered request got the recorded status."},
     {EventId::kBackendConnectionFailed, kWarning, "backend-connection-failed",
      "A connection to a backend server was refused or lost."},
     {EventId::kBackendAnswerInvalid, kWarning, "backend-answer-invalid",
--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -22,6 +22,9 @@
   kRequestNotRun = 2001,
   kRequestOutcomeUnknown = 2002,
   kRequestMalformed = 2003,
+  kResponseCut = 2004,
+  kRequestCancelled = 2005,
+  kRequestAlreadyAnswered = 2006,
   kBackendConnectionFailed = 2100,
   kBackendAnswerInvalid = 2101,
 };
--- /dev/null
+++ b/Services/Entry/baseline_dispatcher.cc
@@ -0,0 +1,145 @@
+#include "Services/Entry/baseline_dispatcher.h"
+
+#include <algorithm>
+
+#include "Libraries/Http/http.h"
+
+namespace dogwood {
+namespace {
+
+// Retry budget of design section 4.5, with a small burst so that the first
+// failure of a quiet service can be retried.
+constexpr double kRetryShare = 0.1;
+constexpr double kRetryBurst = 10;
+
+}  // namespace
+
+struct BaselineDispatcher::Server {
+  ServerId id;
+  boost::asio::ip::tcp::endpoint endpoint;
+  std::uint64_t in_work = 0;
+};
+
+struct BaselineDispatcher::Service {
+  std::vector<std::unique_ptr<Server>> servers;
+  std::size_t next = 0;
+  double retry_tokens = kRetryBurst;
+};
+
+BaselineDispatcher::BaselineDispatcher(PlacementPolicy policy,
+                                       std::uint64_t seed)
+    : policy_(policy), random_(seed) {}
+BaselineDispatcher::~BaselineDispatcher() = default;
+
+Result<void> BaselineDispatcher::Apply(const FleetConfiguration& fleet) {
+  std::map<ServiceId, std::unique_ptr<Service>> services;
+  for (const auto& [service_id, configuration] : fleet.services) {
+    auto service = std::make_unique<Service>();
+    for (const auto& [server_id, server] : configuration.servers) {
+      const auto endpoint = ParseEndpoint(server.address);
+      if (!endpoint) {
+        return Fail(ErrorCode::kInvalidArgument,
+                    "services." + service_id.value() + ".servers." +
+                        server_id.value() + ".address: " +
+                        endpoint.error().message);
+      }
+      const auto zone = fleet.zones.find(server.zone);
+      const bool is_zone_out = zone != fleet.zones.end() &&
+                               zone->second.placement == Placement::kOut;
+      if (is_zone_out || server.placement == Placement::kOut) continue;
+      service->servers.push_back(std::make_unique<Server>(
+          Server{.id = server_id, .endpoint = endpoint.value()}));
+    }
+    services.emplace(service_id, std::move(service));
+  }
+  const std::lock_guard lock(mutex_);
+  // Servers that stay keep their counts of requests in work.
+  for (auto& [service_id, service] : services) {
+    const auto former = services_.find(service_id);
+    if (former == services_.end()) continue;
+    service->retry_tokens = former->second->retry_tokens;
+    for (const auto& server : service->servers) {
+      for (const auto& old : former->second->servers) {
+        if (old->id == server->id) server->in_work = old->in_work;
+      }
+    }
+  }
+  services_ = std::move(services);
+  return outcome::success();
+}
+
+BaselineDispatcher::Server* BaselineDispatcher::Pick(Service& service,
+                                                     const ServerId& excluded) {
+  auto& servers = service.servers;
+  if (servers.empty()) return nullptr;
+  const auto index = [&] {
+    return std::uniform_int_distribution<std::size_t>(
+        0, servers.size() - 1)(random_);
+  };
+  Server* picked = nullptr;
+  switch (policy_) {
+    case PlacementPolicy::kRoundRobin:
+      picked = servers[service.next++ % servers.size()].get();
+      break;
+    case PlacementPolicy::kRandom:
+      picked = servers[index()].get();
+      break;
+    case PlacementPolicy::kTwoChoices: {
+      Server* first = servers[index()].get();
+      Server* second = servers[index()].get();
+      picked = second->in_work < first->in_work ? second : first;
+      break;
+    }
+  }
+  if (picked->id != excluded || servers.size() == 1) return picked;
+  // The next server in order stands in for the excluded one.
+  const auto place = std::find_if(
+      servers.begin(), servers.end(),
+      [&](const auto& server) { return server.get() == picked; });
+  const auto position = static_cast<std::size_t>(place - servers.begin());
+  return servers[(position + 1) % servers.size()].get();
+}
+
+boost::asio::awaitable<
+    outcome::result<DispatchGrant, Refusal, outcome::policy::terminate>>
+BaselineDispatcher::Acquire(const RequestAttributes& request,
+                            ServerId excluded) {
+  const std::lock_guard lock(mutex_);
+  const auto found = services_.find(request.service);
+  if (found == services_.end())
+    co_return outcome::failure(Refusal{Refusal::Reason::kUnknownService, {}});
+  Service& service = *found->second;
+  if (excluded.value().empty()) {
+    service.retry_tokens =
+        std::min(kRetryBurst, service.retry_tokens + kRetryShare);
+  }
+  Server* server = Pick(service, excluded);
+  if (server == nullptr) {
+    co_return outcome::failure(
+        Refusal{Refusal::Reason::kNoServer, std::chrono::seconds(1)});
+  }
+  ++server->in_work;
+  co_return DispatchGrant{
+      .id = next_grant_++, .server = server->id, .endpoint = server->endpoint};
+}
+
+void BaselineDispatcher::Complete(const RequestAttributes& request,
+                                  const DispatchGrant& grant,
+                                  const AttemptReport& /*report*/) {
+  const std::lock_guard lock(mutex_);
+  const auto found = services_.find(request.service);
+  if (found == services_.end()) return;
+  for (const auto& server : found->second->servers) {
+    if (server->id == grant.server && server->in_work > 0) --server->in_work;
+  }
+}
+
+bool BaselineDispatcher::try_take_retry(const ServiceId& service) {
+  const std::lock_guard lock(mutex_);
+  const auto found = services_.find(service);
+  if (found == services_.end() || found->second->retry_tokens < 1) return false;
+  found->second->retry_tokens -= 1;
+  return true;
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Services/Entry/baseline_dispatcher.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "Libraries/Settings/settings.h"
+#include "Services/Entry/entry_settings.h"
+#include "Services/Entry/request_dispatcher.h"
+
+namespace dogwood {
+
+// Placement from local knowledge alone, without queue and permits: the
+// baseline that permit-based placement is compared with.
+class BaselineDispatcher : public RequestDispatcher {
+ public:
+  BaselineDispatcher(PlacementPolicy policy, std::uint64_t seed);
+  ~BaselineDispatcher() override;
+
+  // Puts a configuration in force. Fails with kInvalidArgument on a server
+  // address that is not IP:PORT and leaves the former one in force.
+  Result<void> Apply(const FleetConfiguration& fleet);
+
+  boost::asio::awaitable<
+      outcome::result<DispatchGrant, Refusal, outcome::policy::terminate>>
+  Acquire(const RequestAttributes& request, ServerId excluded) override;
+  void Complete(const RequestAttributes& request, const DispatchGrant& grant,
+                const AttemptReport& report) override;
+  bool try_take_retry(const ServiceId& service) override;
+
+ private:
+  struct Server;
+  struct Service;
+
+  Server* Pick(Service& service, const ServerId& excluded);
+
+  PlacementPolicy policy_;
+  RankedMutex mutex_{LockRank::kRouting};
+  std::mt19937_64 random_;
+  std::uint64_t next_grant_ = 1;
+  std::map<ServiceId, std::unique_ptr<Service>> services_;
+};
+
+}  // namespace dogwood
--- /dev/null
+++ b/Services/Entry/fleet_view.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+#include "Libraries/Settings/settings.h"
+
+namespace dogwood {
+
+// The fleet configuration in force. Workers read it through a Reader of their
+// own, which takes the lock only after a change.
+class FleetView {
+ public:
+  using Snapshot = std::shared_ptr<const FleetConfiguration>;
+
+  explicit FleetView(FleetConfiguration fleet)
+      : snapshot_(std::make_shared<FleetConfiguration>(std::move(fleet))) {}
+
+  void Replace(FleetConfiguration fleet) {
+    auto next = std::make_shared<FleetConfiguration>(std::move(fleet));
+    const std::lock_guard lock(mutex_);
+    snapshot_ = std::move(next);
+    generation_.fetch_add(1, std::memory_order_release);
+  }
+
+  class Reader {
+   public:
+    explicit Reader(FleetView& view) : view_(view) {}
+
+    const FleetConfiguration& Current() {
+      const std::uint64_t newest =
+          view_.generation_.load(std::memory_order_acquire);
+      if (!snapshot_ || newest != generation_) {
+        const std::lock_guard lock(view_.mutex_);
+        snapshot_ = view_.snapshot_;
+        generation_ = view_.generation_.load(std::memory_order_relaxed);
+      }
+      return *snapshot_;
+    }
+
+   private:
+    FleetView& view_;
+    Snapshot snapshot_;
+    std::uint64_t generation_ = 0;
+  };
+
+ private:
+  RankedMutex mutex_{LockRank::kSettings};
+  // Shared with the readers, which keep an old one until their next look.
+  Snapshot snapshot_;
+  std::atomic<std::uint64_t> generation_{1};
+};
+
+}  // namespace dogwood
--- /dev/null
+++ b/Services/Entry/host_life_cycle.cc
@@ -0,0 +1,93 @@
+#include "Services/Entry/host_life_cycle.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace dogwood {
+namespace {
+
+namespace msm = boost::msm;
+namespace mpl = boost::mpl;
+
+template <HostEvent kEvent>
+struct On {};
+
+template <HostPhase kPhase>
+struct In : msm::front::state<> {
+  template <typename Event, typename Machine>
+  void on_entry(const Event& /*event*/, Machine& machine) {
+    machine.phase = kPhase;
+  }
+};
+
+struct MarkForced {
+  template <typename Event, typename Machine, typename Source, typename Target>
+  void operator()(const Event& /*event*/, Machine& machine, Source& /*source*/,
+                  Target& /*target*/) {
+    machine.is_forced = true;
+  }
+};
+
+struct HostDefinition : msm::front::state_machine_def<HostDefinition> {
+  using Phase = HostPhase;
+  using Event = HostEvent;
+  using None = msm::front::none;
+
+  HostPhase phase = Phase::kStarting;
+  bool is_forced = false;
+
+  using initial_state = In<Phase::kStarting>;
+
+  template <Phase kFrom, Event kEvent, Phase kTo, typename Action = None>
+  using Row = msm::front::Row<In<kFrom>, On<kEvent>, In<kTo>, Action, None>;
+
+  // clang-format off
+  struct transition_table : mpl::vector<
+      Row<Phase::kStarting, Event::kStarted, Phase::kServing>,
+      Row<Phase::kStarting, Event::kStopRequested, Phase::kStopped>,
+      Row<Phase::kServing, Event::kStopRequested, Phase::kLeaving>,
+      Row<Phase::kLeaving, Event::kDrained, Phase::kStopped>,
+      Row<Phase::kLeaving, Event::kStopRequested, Phase::kStopped, MarkForced>,
+      Row<Phase::kLeaving, Event::kDeadlinePassed, Phase::kStopped, MarkForced>
+    > {};
+  // clang-format on
+
+  template <typename Machine, typename Event>
+  void no_transition(const Event& /*event*/, Machine& /*machine*/,
+                     int /*state*/) {}
+};
+
+}  // namespace
+
+struct HostLifeCycle::Machine
+    : boost::msm::back::state_machine<HostDefinition> {};
+
+HostLifeCycle::HostLifeCycle() : machine_(std::make_unique<Machine>()) {
+  machine_->start();
+}
+HostLifeCycle::~HostLifeCycle() = default;
+
+bool HostLifeCycle::Process(HostEvent event) {
+  const HostPhase before = machine_->phase;
+  switch (event) {
+    case HostEvent::kStarted:
+      machine_->process_event(On<HostEvent::kStarted>());
+      break;
+    case HostEvent::kStopRequested:
+      machine_->process_event(On<HostEvent::kStopRequested>());
+      break;
+    case HostEvent::kDrained:
+      machine_->process_event(On<HostEvent::kDrained>());
+      break;
+    case HostEvent::kDeadlinePassed:
+      machine_->process_event(On<HostEvent::kDeadlinePassed>());
+      break;
+  }
+  return machine_->phase != before;
+}
+
+HostPhase HostLifeCycle::phase() const { return machine_->phase; }
+bool HostLifeCycle::is_forced() const { return machine_->is_forced; }
+
+}  // namespace dogwood
--- /dev/null
+++ b/Services/Entry/message_parser.cc
@@ -0,0 +1,221 @@
+#include "Services/Entry/message_parser.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include "Libraries/Core/core.h"
+
+namespace dogwood {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+std::string_view View(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+// What the callbacks of both parsers fill in.
+struct ParserOutput {
+  MessageHead head;
+  std::string_view input;
+  std::string_view body;
+  std::optional<FramingFault> fault;
+  unsigned length_fields = 0;
+  unsigned coding_fields = 0;
+
+  // Called for trailer fields too, which are dropped.
+  void AddField(std::string_view name, std::string_view value,
+                beast::error_code& error) {
+    const auto stop = [&](FramingFault found) {
+      fault = found;
+      error = http::error::bad_field;
+    };
+    // Beast joins a folded value in a buffer of its own.
+    if (!value.empty() &&
+        (value.data() < input.data() ||
+         value.data() >= input.data() + input.size())) {
+      return stop(FramingFault::kFoldedField);
+    }
+    if (EqualsIgnoringCase(name, "content-length") && ++length_fields > 1)
+      return stop(FramingFault::kConflictingFraming);
+    if (EqualsIgnoringCase(name, "transfer-encoding")) {
+      if (++coding_fields > 1 || !EqualsIgnoringCase(value, "chunked"))
+        return stop(FramingFault::kUnsupportedCoding);
+    }
+    if (length_fields > 0 && coding_fields > 0)
+      return stop(FramingFault::kConflictingFraming);
+    if (head.size_bytes() + name.size() + value.size() >
+        MessageParser::kHeadLimitBytes) {
+      return stop(FramingFault::kHeadTooLarge);
+    }
+    head.AddField(name, value);
+  }
+};
+
+template <bool kIsRequest>
+class BeastParser : public http::basic_parser<kIsRequest> {
+ public:
+  explicit BeastParser(ParserOutput& output) : output_(output) {
+    this->header_limit(MessageParser::kHeadLimitBytes);
+    this->body_limit(boost::none);
+    this->eager(false);
+  }
+
+ private:
+  void on_request_impl(http::verb /*verb*/, beast::string_view method,
+                       beast::string_view target, int version,
+                       beast::error_code& /*error*/) override {
+    output_.head.method.assign(method.data(), method.size());
+    output_.head.target.assign(target.data(), target.size());
+    output_.head.version = version;
+  }
+  void on_response_impl(int status, beast::string_view /*reason*/, int version,
+                        beast::error_code& /*error*/) override {
+    output_.head.status = static_cast<unsigned>(status);
+    output_.head.version = version;
+  }
+  void on_field_impl(http::field /*field*/, beast::string_view name,
+                     beast::string_view value,
+                     beast::error_code& error) override {
+    if (this->is_header_done()) return;
+    output_.AddField(View(name), View(value), error);
+  }
+  void on_header_impl(beast::error_code& /*error*/) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         beast::error_code& /*error*/) override {}
+  std::size_t on_body_impl(beast::string_view body,
+                           beast::error_code& /*error*/) override {
+    output_.body = View(body);
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/,
+                            beast::string_view /*extensions*/,
+                            beast::error_code& /*error*/) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t /*remaining*/,
+                                 beast::string_view body,
+                                 beast::error_code& /*error*/) override {
+    output_.body = View(body);
+    return body.size();
+  }
+  void on_finish_impl(beast::error_code& /*error*/) override {}
+
+  ParserOutput& output_;
+};
+
+FramingFault FaultOf(const beast::error_code& error) {
+  if (error == http::error::header_limit) return FramingFault::kHeadTooLarge;
+  if (error == http::error::multiple_content_length ||
+      error == http::error::bad_transfer_encoding)
+    return FramingFault::kConflictingFraming;
+  return FramingFault::kMalformed;
+}
+
+}  // namespace
+
+std::string_view TextOf(FramingFault fault) {
+  switch (fault) {
+    case FramingFault::kMalformed:
+      return "malformed message";
+    case FramingFault::kHeadTooLarge:
+      return "header too large";
+    case FramingFault::kConflictingFraming:
+      return "conflicting body lengths";
+    case FramingFault::kUnsupportedCoding:
+      return "unsupported transfer coding";
+    case FramingFault::kFoldedField:
+      return "folded header field";
+  }
+  return "?";
+}
+
+struct MessageParser::Implementation {
+  explicit Implementation(MessageKind given_kind) : kind(given_kind) {}
+
+  template <typename Function>
+  auto Visit(Function function) {
+    return kind == MessageKind::kRequest ? function(*request)
+                                         : function(*response);
+  }
+
+  MessageKind kind;
+  ParserOutput output;
+  // Beast parsers serve one message each.
+  std::optional<BeastParser<true>> request;
+  std::optional<BeastParser<false>> response;
+};
+
+MessageParser::MessageParser(MessageKind kind)
+    : implementation_(std::make_unique<Implementation>(kind)) {
+  Reset();
+}
+MessageParser::~MessageParser() = default;
+MessageParser::MessageParser(MessageParser&&) noexcept = default;
+MessageParser& MessageParser::operator=(MessageParser&&) noexcept = default;
+
+void MessageParser::Reset(bool is_bodiless) {
+  Implementation& state = *implementation_;
+  state.output.head.Clear();
+  state.output.fault.reset();
+  state.output.length_fields = 0;
+  state.output.coding_fields = 0;
+  if (state.kind == MessageKind::kRequest) {
+    state.request.emplace(state.output);
+  } else {
+    state.response.emplace(state.output);
+    state.response->skip(is_bodiless);
+  }
+}
+
+MessageParser::Step MessageParser::Feed(std::string_view input) {
+  VERIFY(!input.empty());
+  VERIFY(!is_complete());
+  ParserOutput& output = implementation_->output;
+  output.input = input;
+  output.body = {};
+  Step step;
+  implementation_->Visit([&](auto& parser) {
+    beast::error_code error;
+    step.consumed =
+        parser.put(boost::asio::const_buffer(input.data(), input.size()), error);
+    if (error == http::error::need_more) {
+      step.needs_more = true;
+    } else if (error) {
+      step.fault = output.fault.value_or(FaultOf(error));
+    }
+  });
+  step.body = output.body;
+  return step;
+}
+
+bool MessageParser::is_head_complete() const {
+  return implementation_->Visit(
+      [](auto& parser) { return parser.is_header_done(); });
+}
+
+bool MessageParser::is_complete() const {
+  return implementation_->Visit([](auto& parser) { return parser.is_done(); });
+}
+
+const MessageHead& MessageParser::head() const {
+  return implementation_->output.head;
+}
+
+BodyFraming MessageParser::framing() const {
+  return implementation_->Visit([](auto& parser) {
+    if (parser.chunked()) return BodyFraming::kChunked;
+    if (parser.content_length()) return BodyFraming::kLength;
+    return parser.need_eof() ? BodyFraming::kUntilClose : BodyFraming::kNone;
+  });
+}
+
+std::uint64_t MessageParser::content_length() const {
+  return implementation_->Visit(
+      [](auto& parser) { return parser.content_length().value_or(0); });
+}
+
+bool MessageParser::is_keep_alive() const {
+  return implementation_->Visit(
+      [](auto& parser) { return parser.keep_alive(); });
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Services/Entry/request_plan.cc
@@ -0,0 +1,169 @@
+#include "Services/Entry/request_plan.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace dogwood {
+namespace {
+
+constexpr std::size_t kFingerprintBodyBytes = 4096;
+constexpr std::size_t kShortestKey = 16;
+constexpr std::size_t kLongestKey = 64;
+// A day; keeps the deadline's arithmetic far from overflow.
+constexpr std::uint64_t kLongestDeadlineMs = 24ULL * 3600 * 1000;
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || stop != end) return std::nullopt;
+  return value;
+}
+
+bool IsRepeatableMethod(std::string_view method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS" ||
+         method == "PUT" || method == "DELETE";
+}
+
+auto Refuse(unsigned status, std::string_view reason, std::string message) {
+  return outcome::failure(OwnAnswer{.status = status,
+                                    .reason = reason,
+                                    .message = std::move(message)});
+}
+
+}  // namespace
+
+OwnAnswer AnswerOf(const Refusal& refusal) {
+  OwnAnswer answer{.retry_after = refusal.retry_after};
+  const auto set = [&](unsigned status, std::string_view reason,
+                       std::string_view message) {
+    answer.status = status;
+    answer.reason = reason;
+    answer.message = message;
+  };
+  switch (refusal.reason) {
+    case Refusal::Reason::kUnknownService:
+      set(404, "unknown-service", "no service has this name");
+      break;
+    case Refusal::Reason::kUnknownParty:
+      set(403, "unknown-party", "no party has this name");
+      break;
+    case Refusal::Reason::kOverCapacity:
+      set(503, "over-capacity", "the service has no free capacity");
+      break;
+    case Refusal::Reason::kDeadlineTooShort:
+      set(503, "deadline-too-short",
+          "the expected wait is longer than the deadline");
+      break;
+    case Refusal::Reason::kNoServer:
+      set(503, "no-server", "no backend server of the service is in use");
+      break;
+    case Refusal::Reason::kStopping:
+      set(503, "stopping", "this entry host is stopping");
+      break;
+    case Refusal::Reason::kCrashSuspect:
+      set(422, "crash-suspect", "this request crashed backend servers");
+      break;
+    case Refusal::Reason::kStoreUnavailable:
+      set(503, "store-unavailable", "the idempotency key cannot be claimed");
+      break;
+    case Refusal::Reason::kNotReady:
+      set(503, "not-ready", "this entry host has no configuration yet");
+      break;
+  }
+  return answer;
+}
+
+outcome::result<RequestPlan, OwnAnswer, outcome::policy::terminate> ReadPlan(
+    const MessageHead& head, const FleetConfiguration& fleet, RequestId id,
+    TimePoint arrival) {
+  RequestPlan plan;
+  RequestAttributes& attributes = plan.attributes;
+  attributes.id = std::move(id);
+  attributes.arrival = arrival;
+  attributes.deadline = arrival + RequestPlan::kPlacementLimit;
+
+  const std::string_view service = head.ValueOf("Dogwood-Service");
+  if (service.empty())
+    return Refuse(400, "missing-service", "Dogwood-Service is required");
+  attributes.service = ServiceId(std::string(service));
+  attributes.party = PartyId(std::string(head.ValueOf("Dogwood-Party")));
+  if (!fleet.parties.empty() && !fleet.parties.contains(attributes.party))
+    return outcome::failure(AnswerOf({Refusal::Reason::kUnknownParty, {}}));
+
+  if (head.has("Dogwood-Deadline-Ms")) {
+    const auto deadline = ParseNumber(head.ValueOf("Dogwood-Deadline-Ms"));
+    if (!deadline || *deadline > kLongestDeadlineMs) {
+      return Refuse(400, "bad-deadline",
+                    "Dogwood-Deadline-Ms must be a whole number of "
+                    "milliseconds, at most a day");
+    }
+    if (*deadline == 0) {
+      return Refuse(504, "deadline", "the deadline has passed");
+    }
+    plan.has_deadline = true;
+    attributes.deadline = arrival + std::chrono::milliseconds(*deadline);
+  }
+  if (head.has("Dogwood-Depth")) {
+    const auto depth = ParseNumber(head.ValueOf("Dogwood-Depth"));
+    if (!depth) {
+      return Refuse(400, "bad-depth", "Dogwood-Depth must be a whole number");
+    }
+    if (*depth > RequestPlan::kDeepestChain) {
+      return Refuse(508, "call-depth", "the call chain is deeper than 10");
+    }
+    plan.depth = static_cast<unsigned>(*depth);
+  }
+
+  bool is_repeatable = IsRepeatableMethod(head.method);
+  if (head.has("Dogwood-Repeatable")) {
+    const std::string_view text = head.ValueOf("Dogwood-Repeatable");
+    if (!EqualsIgnoringCase(text, "yes") && !EqualsIgnoringCase(text, "no")) {
+      return Refuse(400, "bad-repeatable",
+                    "Dogwood-Repeatable must be yes or no");
+    }
+    is_repeatable = EqualsIgnoringCase(text, "yes");
+  }
+  attributes.repeatable = is_repeatable ? Repeatable::kYes : Repeatable::kNo;
+
+  if (head.has("Idempotency-Key")) {
+    const std::string_view key = head.ValueOf("Idempotency-Key");
+    const bool is_visible = std::all_of(key.begin(), key.end(), [](char c) {
+      return c > ' ' && c < 0x7F;
+    });
+    if (key.size() < kShortestKey || key.size() > kLongestKey || !is_visible) {
+      return Refuse(400, "bad-idempotency-key",
+                    "Idempotency-Key must have 16 to 64 visible characters");
+    }
+    attributes.idempotency_key = std::string(key);
+  }
+  if (head.has("Expect")) {
+    if (!EqualsIgnoringCase(head.ValueOf("Expect"), "100-continue"))
+      return Refuse(417, "bad-expectation", "only 100-continue is understood");
+    // A caller of HTTP/1.0 cannot understand interim responses.
+    plan.expects_continue = head.version >= 11;
+  }
+  return plan;
+}
+
+std::uint64_t FingerprintOf(const RequestAttributes& attributes,
+                            const MessageHead& head, std::string_view body) {
+  std::uint64_t hash = 0;
+  // Each part is chained with its length, so that parts cannot run together.
+  const auto add = [&hash](std::string_view part) {
+    hash = XXH3_64bits_withSeed(part.data(), part.size(),
+                                hash * 31 + part.size());
+  };
+  add(attributes.party.value());
+  add(attributes.service.value());
+  add(head.method);
+  add(head.target);
+  add(attributes.idempotency_key ? std::string_view(*attributes.idempotency_key)
+                                 : body.substr(0, kFingerprintBodyBytes));
+  return hash;
+}
+
+}  // namespace dogwood
