Platform: Add the stand-in and the clients of table, objects and hosts

Cause: settings, claims and usage keep their durable state in the platform's table service and need a client and something to test it against. HttpClient keeps one deadline for connect, write and read, and reports a write that timed out as unknown, because its last bytes may have been sent. A handler response with status 0 closes the connection unanswered. g++ 12 destroys some temporaries in co_await argument lists twice (seen as munmap_chunk aborts), so arguments are named locals. Conclusion: other services can build on TableStore now.

--- a/Libraries/Http/http_client.cc
+++ b/Libraries/Http/http_client.cc
@@ -79,6 +79,7 @@
 
 asio::awaitable<Result<HttpResponse>> HttpClient::Send(HttpRequest request,
                                                        Duration timeout) {
+  const TimePoint deadline = MonotonicNow() + timeout;
   const std::string host =
       endpoint_.address().to_string() + ":" + std::to_string(endpoint_.port());
   const http::request<http::string_body> message =
@@ -86,16 +87,21 @@
   std::unique_ptr<Connection> connection = std::move(connection_);
   if (!connection) {
     connection = std::make_unique<Connection>(executor_);
-    connection->stream.expires_after(timeout);
+    connection->stream.expires_at(deadline);
     const auto [error] =
         co_await connection->stream.async_connect(endpoint_, kUseTuple);
     if (error)
       co_return Fail(ErrorCode::kUnavailable,
                      host + ": connect: " + error.message());
   }
-  connection->stream.expires_after(timeout);
+  connection->stream.expires_at(deadline);
   const auto [write_error, written] =
       co_await http::async_write(connection->stream, message, kUseTuple);
+  // A timeout may be reported although the last bytes were already written.
+  if (write_error == beast::error::timeout) {
+    co_return Fail(ErrorCode::kOutcomeUnknown,
+                   host + ": write: " + write_error.message());
+  }
   if (write_error) {
     co_return Fail(ErrorCode::kUnavailable,
                    host + ": write: " + write_error.message());
--- a/Libraries/Http/http_server.cc
+++ b/Libraries/Http/http_server.cc
@@ -81,7 +81,10 @@
       should_close = !parser.get().keep_alive();
       stream.expires_never();
       const bool is_head = parser.get().method() == http::verb::head;
-      answer = ToBeast(co_await state->handler(FromBeast(parser.release())));
+      HttpResponse response =
+          co_await state->handler(FromBeast(parser.release()));
+      if (response.status == 0) break;
+      answer = ToBeast(std::move(response));
       if (is_head) answer.body().clear();
     }
     should_close = should_close || state->stopping;
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -15,6 +15,8 @@
 // not for the request path, which streams.
 class HttpServer {
  public:
+  // A response with status 0 closes the connection without an answer, which
+  // stand-ins use to lose answers.
   using Handler =
       std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
 
--- /dev/null
+++ b/Libraries/Platform/host_list.cc
@@ -0,0 +1,69 @@
+#include "Libraries/Platform/host_list.h"
+
+#include <nlohmann/json.hpp>
+
+#include "Libraries/Platform/http_client_pool.h"
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+constexpr NameTable<ListedHost::State, 2> kStateNames{
+    {{{ListedHost::State::kLive, "live"},
+      {ListedHost::State::kLeaving, "leaving"}}}};
+
+}  // namespace
+
+HostList::HostList(asio::any_io_executor executor,
+                   asio::ip::tcp::endpoint platform)
+    : clients_(std::make_unique<HttpClientPool>(std::move(executor),
+                                                std::move(platform))) {}
+HostList::~HostList() = default;
+
+asio::awaitable<Result<std::vector<ListedHost>>> HostList::Read(
+    Duration timeout) {
+  std::string target = "/hosts";
+  const Result<HttpResponse> result =
+      co_await clients_->Get(std::move(target), timeout);
+  if (!result) co_return result.error();
+  const HttpResponse& response = result.value();
+  std::vector<ListedHost> hosts;
+  try {
+    for (const Json& entry : Json::parse(response.body)) {
+      const auto state =
+          kStateNames.ValueOf(entry.at("state").get<std::string>());
+      if (!state) continue;
+      hosts.push_back({HostId(entry.at("host").get<std::string>()),
+                       ZoneId(entry.at("zone").get<std::string>()),
+                       entry.at("address").get<std::string>(),
+                       entry.at("peer_address").get<std::string>(), *state});
+    }
+  } catch (const Json::exception& error) {
+    co_return Fail(ErrorCode::kUnavailable,
+                   std::string("the platform sent a malformed host list: ") +
+                       error.what());
+  }
+  co_return hosts;
+}
+
+asio::awaitable<Result<void>> HostList::Announce(ListedHost host,
+                                                 Duration timeout) {
+  const Json entry = {{"host", host.host.value()},
+                      {"zone", host.zone.value()},
+                      {"address", host.address},
+                      {"peer_address", host.peer_address},
+                      {"state", kStateNames.NameOf(host.state)}};
+  HttpRequest request{"POST", "/hosts", {}, entry.dump()};
+  const Result<HttpResponse> result =
+      co_await clients_->Send(std::move(request), timeout);
+  if (!result) co_return result.error();
+  const HttpResponse& response = result.value();
+  if (response.status == 200) co_return outcome::success();
+  co_return Fail(ErrorCode::kUnavailable,
+                 "announce host: the platform answered " +
+                     std::to_string(response.status));
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Platform/http_table_store.cc
@@ -0,0 +1,115 @@
+#include "Libraries/Platform/http_table_store.h"
+
+#include <nlohmann/json.hpp>
+
+#include "Libraries/Platform/http_client_pool.h"
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+HttpRequest ToRequest(const TableCommit& commit) {
+  Json checks = Json::array();
+  for (const TableCommit::Check& check : commit.checks)
+    checks.push_back({{"key", check.key}, {"version", check.version}});
+  Json puts = Json::array();
+  for (const TableCommit::Put& put : commit.puts)
+    puts.push_back({{"key", put.key}, {"value", put.value}});
+  const Json body{{"checks", std::move(checks)},
+                  {"puts", std::move(puts)},
+                  {"deletes", commit.deletes}};
+  return {"POST",
+          "/table/commit",
+          {{"Content-Type", "application/json"}},
+          body.dump()};
+}
+
+Result<TableRow> ToRow(const Json& json) {
+  try {
+    return TableRow{json.at("key").get<std::string>(),
+                    json.at("version").get<std::uint64_t>(),
+                    json.at("value").get<std::string>()};
+  } catch (const Json::exception& error) {
+    return Fail(
+        ErrorCode::kUnavailable,
+        std::string("the platform sent a malformed row: ") + error.what());
+  }
+}
+
+Result<std::vector<TableRow>> ToRows(const Json& parent, const char* name) {
+  std::vector<TableRow> rows;
+  if (!parent.is_object() || !parent.contains(name)) {
+    return Fail(ErrorCode::kUnavailable,
+                std::string("the platform's answer lacks ") + name);
+  }
+  for (const Json& json : parent.at(name)) {
+    TRY_ASSIGN(TableRow row, ToRow(json));
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+Json ParseLeniently(const std::string& text) {
+  return Json::parse(text, nullptr, /*allow_exceptions=*/false);
+}
+
+}  // namespace
+
+HttpTableStore::HttpTableStore(asio::any_io_executor executor,
+                               asio::ip::tcp::endpoint platform)
+    : clients_(std::make_unique<HttpClientPool>(std::move(executor),
+                                                std::move(platform))) {}
+HttpTableStore::~HttpTableStore() = default;
+
+asio::awaitable<CommitResult> HttpTableStore::Commit(TableCommit commit,
+                                                     Duration timeout) {
+  HttpRequest request = ToRequest(commit);
+  const Result<HttpResponse> response =
+      co_await clients_->Send(std::move(request), timeout);
+  if (!response) {
+    if (response.error().code == ErrorCode::kUnavailable)
+      co_return CommitUnavailable{};
+    co_return CommitUnknown{};
+  }
+  switch (response.value().status) {
+    case 200:
+      co_return Committed{};
+    case 409: {
+      auto rows = ToRows(ParseLeniently(response.value().body), "failed");
+      // 409 alone already says that nothing changed.
+      if (!rows) co_return CommitConflict{};
+      co_return CommitConflict{std::move(rows).value()};
+    }
+    case 400:
+    case 413:
+    case 503:
+      co_return CommitUnavailable{};
+    default:
+      co_return CommitUnknown{};
+  }
+}
+
+asio::awaitable<Result<TableRow>> HttpTableStore::Read(std::string key,
+                                                       Duration timeout) {
+  std::string target = "/table/row?key=" + PercentEncode(key);
+  const Result<HttpResponse> response =
+      co_await clients_->Get(std::move(target), timeout);
+  if (!response) co_return response.error();
+  co_return ToRow(ParseLeniently(response.value().body));
+}
+
+asio::awaitable<Result<std::vector<TableRow>>> HttpTableStore::Scan(
+    std::string prefix, std::string after, std::size_t limit,
+    Duration timeout) {
+  std::string target = "/table/scan?prefix=" + PercentEncode(prefix) +
+                       "&after=" + PercentEncode(after) +
+                       "&limit=" + std::to_string(limit);
+  const Result<HttpResponse> response =
+      co_await clients_->Get(std::move(target), timeout);
+  if (!response) co_return response.error();
+  co_return ToRows(ParseLeniently(response.value().body), "rows");
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Platform/http_table_store.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+
+#include "Libraries/Platform/table_store.h"
+
+namespace dogwood {
+
+class HttpClientPool;
+
+// The platform's table service over HTTP/1.1 (docs/design.md section 6).
+class HttpTableStore : public TableStore {
+ public:
+  HttpTableStore(boost::asio::any_io_executor executor,
+                 boost::asio::ip::tcp::endpoint platform);
+  ~HttpTableStore() override;
+
+  boost::asio::awaitable<CommitResult> Commit(TableCommit commit,
+                                              Duration timeout) override;
+  boost::asio::awaitable<Result<TableRow>> Read(std::string key,
+                                                Duration timeout) override;
+  boost::asio::awaitable<Result<std::vector<TableRow>>> Scan(
+      std::string prefix, std::string after, std::size_t limit,
+      Duration timeout) override;
+
+ private:
+  std::unique_ptr<HttpClientPool> clients_;
+};
+
+}  // namespace dogwood
--- a/Libraries/Platform/platform.h
+++ b/Libraries/Platform/platform.h
@@ -2,4 +2,7 @@
 // store and host list.
 #pragma once
 
+#include "Libraries/Platform/host_list.h"
+#include "Libraries/Platform/http_table_store.h"
+#include "Libraries/Platform/object_store.h"
 #include "Libraries/Platform/table_store.h"
--- /dev/null
+++ b/Tests/StandIns/platform_service.cc
@@ -0,0 +1,191 @@
+#include "Tests/StandIns/platform_service.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace dogwood {
+namespace {
+
+using Json = nlohmann::json;
+
+HttpResponse JsonResponse(unsigned status, const Json& body) {
+  return {status, {{"Content-Type", "application/json"}}, body.dump() + "\n"};
+}
+
+HttpResponse Refuse(unsigned status, const std::string& message) {
+  return JsonResponse(status, {{"error", message}});
+}
+
+Json ToJson(const TableRow& row) {
+  return {{"key", row.key}, {"version", row.version}, {"value", row.value}};
+}
+
+std::size_t LimitOf(std::string_view target) {
+  constexpr std::size_t kMostRows = 1000;
+  const std::string text = QueryParameter(target, "limit").value_or("1000");
+  std::size_t limit = kMostRows;
+  std::from_chars(text.data(), text.data() + text.size(), limit);
+  return std::min(limit, kMostRows);
+}
+
+Duration Milliseconds(const Json& object, const char* name, Duration fallback) {
+  if (!object.contains(name)) return fallback;
+  return std::chrono::milliseconds(object.at(name).get<std::int64_t>());
+}
+
+}  // namespace
+
+PlatformService::PlatformService(const Options& options)
+    : options_(options),
+      reads_{options.reads_per_second, options.reads_per_second / 10, {}},
+      writes_{options.writes_per_second, options.writes_per_second / 10, {}} {}
+
+bool PlatformService::Limiter::try_take(TimePoint now) {
+  const double seconds = std::chrono::duration<double>(now - last).count();
+  tokens = std::min(std::max(1.0, rate / 10), tokens + seconds * rate);
+  last = now;
+  if (tokens < 1) return false;
+  tokens -= 1;
+  return true;
+}
+
+HttpResponse PlatformService::Handle(const HttpRequest& request,
+                                     TimePoint now) {
+  const std::string_view path = PathOf(request.target);
+  try {
+    if (path == "/faults" && request.method == "POST")
+      return SetFaults(request);
+    if (path == "/stats" && request.method == "GET") return Stats();
+    if (faults_.is_down) {
+      ++refused_count_;
+      return Refuse(503, "the platform is down");
+    }
+    const bool is_write = request.method != "GET";
+    if (!(is_write ? writes_ : reads_).try_take(now)) {
+      ++refused_count_;
+      return Refuse(503, "over the rate limit");
+    }
+    ++(is_write ? write_count_ : read_count_);
+    if (path == "/table/commit" && is_write) return Commit(request, now);
+    if (path.starts_with("/table/") && !is_write) return Read(request, now);
+    if (path.starts_with("/object/")) return Object(request, path);
+    if (path == "/hosts")
+      return is_write ? WriteHosts(request, now) : ReadHosts(now);
+  } catch (const Json::exception& error) {
+    return Refuse(400, error.what());
+  }
+  return Refuse(404, "no such resource");
+}
+
+HttpResponse PlatformService::Commit(const HttpRequest& request,
+                                     TimePoint now) {
+  const Json body = Json::parse(request.body);
+  TableCommit commit;
+  for (const Json& check : body.value("checks", Json::array())) {
+    commit.checks.push_back({check.at("key").get<std::string>(),
+                             check.at("version").get<std::uint64_t>()});
+  }
+  for (const Json& put : body.value("puts", Json::array())) {
+    commit.puts.push_back(
+        {put.at("key").get<std::string>(), put.at("value").get<std::string>()});
+  }
+  commit.deletes = body.value("deletes", std::vector<std::string>());
+
+  const CommitResult result = table_.Commit(commit, now);
+  if (std::bernoulli_distribution(faults_.lose_answers)(random_)) {
+    ++lost_count_;
+    return {.status = 0};
+  }
+  if (const auto* conflict = std::get_if<CommitConflict>(&result)) {
+    Json failed = Json::array();
+    for (const TableRow& row : conflict->current) failed.push_back(ToJson(row));
+    return JsonResponse(409, {{"failed", failed}});
+  }
+  Json versions = Json::object();
+  for (const TableCommit::Put& put : commit.puts)
+    versions[put.key] = table_.Read(put.key, now).version;
+  return JsonResponse(200, {{"versions", versions}});
+}
+
+HttpResponse PlatformService::Read(const HttpRequest& request,
+                                   TimePoint now) const {
+  const std::string_view path = PathOf(request.target);
+  const TimePoint as_of = now - faults_.stale_reads;
+  if (path == "/table/row") {
+    const auto key = QueryParameter(request.target, "key");
+    if (!key) return Refuse(400, "the parameter key is missing");
+    return JsonResponse(200, ToJson(table_.Read(*key, as_of)));
+  }
+  if (path != "/table/scan") return Refuse(404, "no such resource");
+  Json rows = Json::array();
+  for (const TableRow& row :
+       table_.Scan(QueryParameter(request.target, "prefix").value_or(""),
+                   QueryParameter(request.target, "after").value_or(""),
+                   LimitOf(request.target), as_of)) {
+    rows.push_back(ToJson(row));
+  }
+  return JsonResponse(200, {{"rows", rows}});
+}
+
+HttpResponse PlatformService::Object(const HttpRequest& request,
+                                     std::string_view path) {
+  const std::string name(path.substr(std::string_view("/object/").size()));
+  if (request.method == "PUT") {
+    objects_[name] = request.body;
+    return JsonResponse(200, {{"bytes", request.body.size()}});
+  }
+  const auto found = objects_.find(name);
+  if (request.method != "GET" || found == objects_.end())
+    return Refuse(404, "no such object");
+  return {200, {{"Content-Type", "application/octet-stream"}}, found->second};
+}
+
+HttpResponse PlatformService::ReadHosts(TimePoint now) const {
+  Json list = Json::array();
+  for (const auto& [name, history] : hosts_) {
+    const auto found =
+        std::find_if(history.rbegin(), history.rend(), [&](const Host& state) {
+          return state.since <= now - options_.host_list_lag;
+        });
+    if (found != history.rend() && !found->entry.is_null())
+      list.push_back(found->entry);
+  }
+  return JsonResponse(200, list);
+}
+
+// A body without "state" removes the host.
+HttpResponse PlatformService::WriteHosts(const HttpRequest& request,
+                                         TimePoint now) {
+  const Json entry = Json::parse(request.body);
+  const auto name = entry.at("host").get<std::string>();
+  const bool is_present = entry.contains("state");
+  if (is_present) {
+    for (const char* field : {"zone", "address", "peer_address", "state"})
+      (void)entry.at(field).get<std::string>();
+  }
+  hosts_[name].push_back({now, is_present ? entry : Json()});
+  return JsonResponse(200, Json::object());
+}
+
+HttpResponse PlatformService::SetFaults(const HttpRequest& request) {
+  const Json body = Json::parse(request.body);
+  faults_.is_down = body.value("down", faults_.is_down);
+  faults_.delay = Milliseconds(body, "delay_ms", faults_.delay);
+  faults_.lose_answers =
+      std::clamp(body.value("lose_answers", faults_.lose_answers), 0.0, 1.0);
+  faults_.stale_reads =
+      Milliseconds(body, "stale_reads_ms", faults_.stale_reads);
+  if (body.contains("seed")) random_.seed(body.at("seed").get<unsigned>());
+  return JsonResponse(200, Json::object());
+}
+
+HttpResponse PlatformService::Stats() const {
+  return JsonResponse(200, {{"reads", read_count_},
+                            {"writes", write_count_},
+                            {"refused", refused_count_},
+                            {"lost_answers", lost_count_},
+                            {"rows", table_.Newest().size()},
+                            {"objects", objects_.size()}});
+}
+
+}  // namespace dogwood
