--- a/Libraries/Observe/event_catalogue.cc
+++ b/Libraries/Observe/event_catalogue.cc
@@ -33,6 +33,30 @@
      "A connection to a backend server was refused or lost."},
     {EventId::kBackendAnswerInvalid, kWarning, "backend-answer-invalid",
      "A backend server's answer was truncated, surplus, crossed or malformed."},
+    {EventId::kUsageWriteFailed, kWarning, "usage-write-failed",
+     "Running totals could not be written; they stay in memory and at peers."},
+    {EventId::kUsageReservationExtended, kInfo, "usage-reservation-extended",
+     "Peers hold a greater reservation than the store."},
+    {EventId::kUsageAdopted, kInfo, "usage-adopted",
+     "The totals of a vanished incarnation were written by a peer."},
+    {EventId::kUsageMonthClosed, kInfo, "usage-month-closed",
+     "The snapshot of a month was stored; `sha256` is its digest."},
+    {EventId::kUsageRowInvalid, kError, "usage-row-invalid",
+     "A usage row or message could not be read; `error` says why."},
+    {EventId::kUsageReservationExceeded, kError, "usage-reservation-exceeded",
+     "A request was charged beyond the reservation in force."},
+    {EventId::kClaimShardTaken, kInfo, "claim-shard-taken",
+     "This host took shards over; `shards` counts them."},
+    {EventId::kClaimShardLost, kInfo, "claim-shard-lost",
+     "A commit found that another host holds a shard."},
+    {EventId::kClaimCommitUnresolved, kWarning, "claim-commit-unresolved",
+     "The answer to a commit of claims was lost; nothing is granted until its "
+     "fate is known."},
+    {EventId::kClaimReportAbandoned, kWarning, "claim-report-abandoned",
+     "The outcome of a claim could not be reported to its holder; the key "
+     "stays claimed."},
+    {EventId::kClaimRowInvalid, kError, "claim-row-invalid",
+     "A row of a former holder could not be read; its shards stay unserved."},
 });
 
 }  // namespace
--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -24,6 +24,17 @@
   kRequestMalformed = 2003,
   kBackendConnectionFailed = 2100,
   kBackendAnswerInvalid = 2101,
+  kUsageWriteFailed = 6000,
+  kUsageReservationExtended = 6001,
+  kUsageAdopted = 6002,
+  kUsageMonthClosed = 6003,
+  kUsageRowInvalid = 6004,
+  kUsageReservationExceeded = 6005,
+  kClaimShardTaken = 7000,
+  kClaimShardLost = 7001,
+  kClaimCommitUnresolved = 7002,
+  kClaimReportAbandoned = 7003,
+  kClaimRowInvalid = 7004,
 };
 
 struct EventDescription {
