--- a/Libraries/Core/lock_rank.h
+++ b/Libraries/Core/lock_rank.h
@@ -10,6 +10,8 @@
   kSettings = 1,
   kMembers,
   kRouting,
+  kSuspects,
+  kGrants,
   kClaims,
   kUsage,
   kConnections,
--- a/Services/Entry/request_exchange.cc
+++ b/Services/Entry/request_exchange.cc
@@ -62,8 +62,7 @@
     co_return co_await Answer(
         AnswerOf({Refusal::Reason::kStopping, kRetryHint}));
   }
-  auto plan =
-      ReadPlan(parser_.head(), context_.fleet.Current(), id_, arrival);
+  auto plan = ReadPlan(parser_.head(), context_.fleet.Current(), id_, arrival);
   if (!plan) co_return co_await Answer(std::move(plan).error());
   plan_ = std::move(plan).value();
   // A caller that expects 100 Continue learns of a refusal before it sends.
@@ -88,8 +87,7 @@
 asio::awaitable<bool> RequestExchange::BufferBody() {
   is_reading_body_ = true;
   CallerBody reader(caller_, parser_);
-  while (!parser_.is_complete() &&
-         memory_.body.size() < kReplayableBodyBytes) {
+  while (!parser_.is_complete() && memory_.body.size() < kReplayableBodyBytes) {
     const CallerBody::Piece piece = co_await reader.Next();
     for (std::size_t i = 0; i < piece.slice_count; ++i)
       memory_.body.append(piece.slices[i]);
@@ -122,12 +120,11 @@
       has_claim_ = true;
       co_return std::nullopt;
     case ClaimDecision::Kind::kCompleted:
-      co_return OwnAnswer{
-          .outcome = RequestOutcome::kAnswered,
-          .status = 409,
-          .reason = "already-answered",
-          .message = "a former send of this key was answered",
-          .recorded_status = decision.status};
+      co_return OwnAnswer{.outcome = RequestOutcome::kAnswered,
+                          .status = 409,
+                          .reason = "already-answered",
+                          .message = "a former send of this key was answered",
+                          .recorded_status = decision.status};
     case ClaimDecision::Kind::kOutcomeUnknown:
       co_return OwnAnswer{
           .outcome = RequestOutcome::kUnknown,
@@ -145,8 +142,7 @@
   RequestDispatcher& dispatcher = context_.shared.dispatcher;
   ServerId excluded;
   for (int attempt = 1;; ++attempt) {
-    const auto grant =
-        co_await dispatcher.Acquire(plan_.attributes, excluded);
+    const auto grant = co_await dispatcher.Acquire(plan_.attributes, excluded);
     if (!grant) {
       if (cause_ != Cause::kNone || may_have_run_ || attempt > 1) break;
       FinishClaim({.kind = ClaimEnd::Kind::kReleased});
@@ -191,11 +187,10 @@
     }
     if (!is_delivered_) {
       metrics.cut.Add();
-      context_.shared.log.Record(
-          EventId::kResponseCut,
-          {{"request", id_.value()},
-           {"service", plan_.attributes.service.value()},
-           {"reason", failure_}});
+      context_.shared.log.Record(EventId::kResponseCut,
+                                 {{"request", id_.value()},
+                                  {"service", plan_.attributes.service.value()},
+                                  {"reason", failure_}});
       co_return After::kReset;
     }
     if (context_.shared.log.is_enabled(EventId::kRequestAnswered)) {
@@ -211,11 +206,10 @@
   }
   if (cause_ == Cause::kCallerLeft || cause_ == Cause::kForced) {
     metrics.cancelled.Add();
-    context_.shared.log.Record(
-        EventId::kRequestCancelled,
-        {{"request", id_.value()},
-         {"service", plan_.attributes.service.value()},
-         {"handed_over", may_have_run_}});
+    context_.shared.log.Record(EventId::kRequestCancelled,
+                               {{"request", id_.value()},
+                                {"service", plan_.attributes.service.value()},
+                                {"handed_over", may_have_run_}});
     co_return After::kClose;
   }
   co_return co_await Answer(AnswerForEnd());
@@ -237,8 +231,8 @@
   connection_ = pool.TryTake(context_.worker, context_.executor, grant);
   if (!connection_) {
     ticket_.emplace();
-    connection_ = co_await pool.Take(context_.worker, context_.executor, grant,
-                                     *ticket_);
+    connection_ =
+        co_await pool.Take(context_.worker, context_.executor, grant, *ticket_);
     ticket_.reset();
   }
   if (!connection_ || cause_ != Cause::kNone) {
@@ -269,11 +263,10 @@
   if (cause_ != Cause::kNone) event = AttemptEvent::kCancelled;
   if (event == AttemptEvent::kResponseInvalid) {
     context_.shared.metrics.invalid_responses.Add();
-    context_.shared.log.Record(
-        EventId::kBackendAnswerInvalid,
-        {{"request", id_.value()},
-         {"service", plan_.attributes.service.value()},
-         {"reason", detail}});
+    context_.shared.log.Record(EventId::kBackendAnswerInvalid,
+                               {{"request", id_.value()},
+                                {"service", plan_.attributes.service.value()},
+                                {"reason", detail}});
   }
   memory_.attempt.Process(event);
   failure_ = detail;
@@ -311,9 +304,8 @@
   } else {
     answer.status = may_have_run_ ? 502 : 503;
     answer.reason = failure_;
-    answer.message = may_have_run_
-                         ? "the backend server's response was lost"
-                         : "no backend server took the request";
+    answer.message = may_have_run_ ? "the backend server's response was lost"
+                                   : "no backend server took the request";
     if (!may_have_run_) answer.retry_after = kRetryHint;
   }
   return answer;
--- a/Services/Entry/request_transfer.cc
+++ b/Services/Entry/request_transfer.cc
@@ -221,8 +221,8 @@
                            .length = parser.content_length()};
   if (status == 204) framing = {};
   // A caller of HTTP/1.0 knows no chunks; its connection's end ends the body.
-  const bool is_until_close = framing.framing == BodyFraming::kChunked &&
-                              parser_.head().version < 11;
+  const bool is_until_close =
+      framing.framing == BodyFraming::kChunked && parser_.head().version < 11;
   if (is_until_close) framing = {.framing = BodyFraming::kUntilClose};
   const BodyFraming body_framing =
       has_no_body ? BodyFraming::kNone : framing.framing;
