Entry: Add PeerExchange and its cost benchmark

Cause: the entry service needs the implementation of PeerChannel. Change: PeerExchange runs MemberTable over PeerLink; peer-exchange-node and scripts/bench_control.sh measure the cost per node. Conclusion: usable by other modules; the warm-up now covers the first round.

--- a/Libraries/PeerLink/peer_client.cc
+++ b/Libraries/PeerLink/peer_client.cc
@@ -375,9 +375,9 @@
       asio::use_awaitable);
 }
 
-void PeerClient::Send(std::string_view kind, const nlohmann::json& body,
+void PeerClient::Send(std::string_view kind, std::vector<std::uint8_t> body,
                       Duration timeout) {
-  state_->Begin("/v1/" + std::string(kind), EncodeBody(body), timeout, nullptr);
+  state_->Begin("/v1/" + std::string(kind), std::move(body), timeout, nullptr);
 }
 
 bool PeerClient::has_open_calls() const { return !state_->calls.empty(); }
--- a/Libraries/PeerLink/peer_client.h
+++ b/Libraries/PeerLink/peer_client.h
@@ -50,8 +50,8 @@
   boost::asio::awaitable<Result<PeerReply>> Call(std::string_view kind,
                                                  const nlohmann::json& body,
                                                  Duration timeout);
-  // Sends without waiting; a loss is not reported.
-  void Send(std::string_view kind, const nlohmann::json& body,
+  // Sends a body from EncodeBody() without waiting; a loss is not reported.
+  void Send(std::string_view kind, std::vector<std::uint8_t> body,
             Duration timeout);
 
   bool has_open_calls() const;
--- /dev/null
+++ b/Services/Entry/peer_exchange.cc
@@ -0,0 +1,404 @@
+#include "Services/Entry/peer_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <random>
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using nlohmann::json;
+
+constexpr const char* kPingKind = "ping";
+constexpr const char* kPingRequestKind = "ping-request";
+// One letter for the same reason as the fields of a ping.
+constexpr const char* kPiggybacks = "p";
+constexpr const char* kAnswered = "answered";
+constexpr Duration kSweepPeriod = std::chrono::seconds(10);
+// A client that could not connect is kept this long for its growing pauses.
+constexpr Duration kUnconnectedLimit = std::chrono::seconds(30);
+constexpr Duration kContactRetry = std::chrono::seconds(1);
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+
+std::optional<tcp::endpoint> ParseEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  std::string_view address = text.substr(0, colon);
+  if (address.size() > 2 && address.front() == '[' && address.back() == ']')
+    address = address.substr(1, address.size() - 2);
+  const std::string_view digits = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [rest, parse_error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (parse_error != std::errc{} || rest != digits.data() + digits.size())
+    return std::nullopt;
+  boost::system::error_code error;
+  const auto parsed = asio::ip::make_address(std::string(address), error);
+  if (error) return std::nullopt;
+  return tcp::endpoint(parsed, port);
+}
+
+std::string FormatEndpoint(const tcp::endpoint& endpoint) {
+  const std::string address = endpoint.address().to_string();
+  const std::string port = std::to_string(endpoint.port());
+  if (endpoint.address().is_v6()) return "[" + address + "]:" + port;
+  return address + ":" + port;
+}
+
+PeerEnvelope SelfOf(const HostId& host, Incarnation incarnation) {
+  return {.sender = host, .incarnation = incarnation};
+}
+
+// Lets a coroutine wait until as many others as it expects have ended.
+class Gathering {
+ public:
+  Gathering(const asio::any_io_executor& executor, std::size_t expected)
+      : timer_(executor, TimePoint::max()), open_(expected) {}
+
+  void EndOne() {
+    if (--open_ == 0) timer_.cancel();
+  }
+  void EndAll() {
+    open_ = 0;
+    timer_.cancel();
+  }
+  bool has_open() const { return open_ > 0; }
+  asio::awaitable<void> Wait() {
+    if (open_ > 0) co_await timer_.async_wait(kUseTuple);
+  }
+
+ private:
+  asio::steady_timer timer_;
+  std::size_t open_;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<PeerExchange>> PeerExchange::Start(
+    const asio::any_io_executor& executor, Options options) {
+  auto counters = std::make_shared<LinkCounters>();
+  // The server needs a handler before the exchange knows the bound port.
+  const auto target = std::make_shared<PeerExchange*>(nullptr);
+  const PeerEnvelope self = SelfOf(options.host, options.incarnation);
+  TRY_ASSIGN(PeerServer server,
+             PeerServer::Listen(
+                 executor, options.listen, {.self = self},
+                 [target](PeerRequest request) {
+                   return (*target)->HandleRequest(std::move(request));
+                 },
+                 counters));
+  std::string peer_address = options.peer_address;
+  if (peer_address.empty())
+    peer_address = FormatEndpoint(server.local_endpoint());
+  std::unique_ptr<PeerExchange> exchange(
+      new PeerExchange(executor, std::move(options), std::move(peer_address)));
+  exchange->counters_ = std::move(counters);
+  exchange->server_.emplace(std::move(server));
+  *target = exchange.get();
+  asio::co_spawn(executor, exchange->RunContacts(), asio::detached);
+  asio::co_spawn(executor, exchange->RunPings(), asio::detached);
+  asio::co_spawn(executor, exchange->RunSweeps(), asio::detached);
+  return exchange;
+}
+
+PeerExchange::PeerExchange(const asio::any_io_executor& executor,
+                           Options options, std::string peer_address)
+    : executor_(executor),
+      options_(std::move(options)),
+      table_({.host = options_.host,
+              .zone = options_.zone,
+              .peer_address = std::move(peer_address),
+              .incarnation = options_.incarnation},
+             options_.table),
+      random_(options_.random_seed != 0 ? options_.random_seed
+                                        : std::random_device{}()) {}
+
+PeerExchange::~PeerExchange() { Stop(); }
+
+void PeerExchange::AddMemberListener(MemberListener listener) {
+  listeners_.push_back(std::move(listener));
+}
+
+void PeerExchange::Handle(std::string kind, Handler handler) {
+  handlers_[std::move(kind)] = std::move(handler);
+}
+
+void PeerExchange::AddPiggyback(std::string name, PiggybackSource source,
+                                PiggybackSink sink) {
+  piggybacks_[std::move(name)] = {std::move(source), std::move(sink)};
+}
+
+asio::awaitable<Result<json>> PeerExchange::Call(HostId to, std::string kind,
+                                                 json body, Duration timeout) {
+  const MemberRecord* const record = table_.RecordOf(to);
+  if (record == nullptr)
+    co_return Fail(ErrorCode::kUnavailable,
+                   "host " + to.value() + " is no member");
+  PeerClient* const client = ClientOf(record->peer_address);
+  if (client == nullptr)
+    co_return Fail(ErrorCode::kUnavailable,
+                   "host " + to.value() + " has no usable address");
+  Result<PeerReply> reply = co_await client->Call(kind, body, timeout);
+  if (reply.has_error()) co_return reply.error();
+  if (reply.value().envelope.sender != to)
+    co_return Fail(ErrorCode::kOutcomeUnknown,
+                   "host " + reply.value().envelope.sender.value() +
+                       " answered in place of " + to.value());
+  co_return std::move(reply.value().body);
+}
+
+void PeerExchange::Broadcast(std::string kind, json body) {
+  const std::vector<std::uint8_t> bytes = EncodeBody(body);
+  for (const Member& member : table_.members()) {
+    if (PeerClient* const client = ClientOf(member.peer_address))
+      client->Send(kind, bytes, options_.broadcast_timeout);
+  }
+}
+
+asio::awaitable<void> PeerExchange::Leave() {
+  table_.Leave();
+  const std::vector<Member> members = table_.members();
+  const auto gathering = std::make_shared<Gathering>(executor_, members.size());
+  for (const Member& member : members) {
+    asio::co_spawn(
+        executor_,
+        PingOnce({.host = member.host, .peer_address = member.peer_address}),
+        [gathering](const std::exception_ptr&, bool) { gathering->EndOne(); });
+  }
+  co_await gathering->Wait();
+}
+
+void PeerExchange::Stop() {
+  if (is_stopped_) return;
+  is_stopped_ = true;
+  for (asio::steady_timer* const timer : waiting_) timer->cancel();
+  if (server_) server_->Stop();
+  for (auto& [address, client] : clients_) client.Close();
+}
+
+LinkCounters PeerExchange::counters() const {
+  LinkCounters counters = *counters_;
+  server_->AddSegments(counters);
+  for (const auto& [address, client] : clients_) client.AddSegments(counters);
+  return counters;
+}
+
+std::size_t PeerExchange::connection_count() const {
+  return server_->connection_count() +
+         static_cast<std::size_t>(std::count_if(
+             clients_.begin(), clients_.end(),
+             [](const auto& item) { return item.second.is_connected(); }));
+}
+
+asio::awaitable<Result<json>> PeerExchange::HandleRequest(PeerRequest request) {
+  if (request.kind == kPingKind) co_return HandlePing(request);
+  if (request.kind == kPingRequestKind)
+    co_return co_await HandlePingRequest(std::move(request));
+  const auto found = handlers_.find(request.kind);
+  if (found == handlers_.end())
+    co_return Fail(ErrorCode::kNotFound,
+                   "no handler for message kind " + request.kind);
+  co_return co_await found->second(std::move(request.envelope.sender),
+                                   std::move(request.body));
+}
+
+Result<json> PeerExchange::HandlePing(const PeerRequest& request) {
+  TRY_ASSIGN(const Ping ping, ParsePing(request.body));
+  const Ack ack =
+      table_.HandlePing(request.envelope.sender, request.envelope.incarnation,
+                        ping, MonotonicNow());
+  NotifyListeners();
+  ReadPiggybacks(request.envelope.sender, request.body);
+  json body = ToJson(ack);
+  AddPiggybacks(body);
+  return body;
+}
+
+asio::awaitable<Result<json>> PeerExchange::HandlePingRequest(
+    PeerRequest request) {
+  CO_TRY_ASSIGN(const PingRequest ping_request, ParsePingRequest(request.body));
+  MemberTable::Target target;
+  target.host = ping_request.target;
+  target.peer_address = ping_request.peer_address;
+  json answer = json::object();
+  answer[kAnswered] = co_await PingOnce(std::move(target));
+  co_return answer;
+}
+
+asio::awaitable<void> PeerExchange::RunPings() {
+  // Hosts that start together do not ping in step.
+  const auto period = options_.table.ping_period.count();
+  Duration pause(
+      std::uniform_int_distribution<Duration::rep>(0, period)(random_));
+  TimePoint next = MonotonicNow() + pause;
+  while (!is_stopped_) {
+    const Duration wait = next - MonotonicNow();
+    const bool should_go_on = co_await WaitFor(wait);
+    if (!should_go_on) co_return;
+    const TimePoint now = MonotonicNow();
+    // After a pause the missed pings are not made up for.
+    next = std::max(next, now - options_.table.ping_period) +
+           options_.table.ping_period;
+    table_.Tick(now);
+    NotifyListeners();
+    if (auto target = table_.NextProbe(now, random_))
+      asio::co_spawn(executor_, Probe(std::move(*target)), asio::detached);
+  }
+}
+
+asio::awaitable<void> PeerExchange::RunContacts() {
+  if (!options_.contacts) co_return;
+  while (!is_stopped_) {
+    Result<std::vector<Contact>> contacts = co_await options_.contacts();
+    const bool has_contacts = contacts.has_value();
+    if (has_contacts) table_.SetContacts(std::move(contacts).value());
+    const Duration pause =
+        has_contacts ? options_.contact_period : kContactRetry;
+    co_await WaitFor(pause);
+  }
+}
+
+asio::awaitable<void> PeerExchange::RunSweeps() {
+  while (!is_stopped_) {
+    const bool should_go_on = co_await WaitFor(kSweepPeriod);
+    if (should_go_on) CloseIdleClients();
+  }
+}
+
+asio::awaitable<bool> PeerExchange::WaitFor(Duration duration) {
+  if (is_stopped_) co_return false;
+  asio::steady_timer timer(executor_, duration);
+  waiting_.push_back(&timer);
+  co_await timer.async_wait(kUseTuple);
+  std::erase(waiting_, &timer);
+  co_return !is_stopped_;
+}
+
+asio::awaitable<void> PeerExchange::Probe(MemberTable::Target target) {
+  const TimePoint sent = MonotonicNow();
+  if (co_await PingOnce(target)) co_return;
+  if (target.is_contact || is_stopped_) co_return;
+  if (co_await PingByRelays(target)) co_return;
+  if (is_stopped_) co_return;
+  table_.HandleNoAnswer(target, sent, MonotonicNow());
+  NotifyListeners();
+}
+
+asio::awaitable<bool> PeerExchange::PingOnce(MemberTable::Target target) {
+  PeerClient* const client = ClientOf(target.peer_address);
+  if (client == nullptr) co_return false;
+  const TimePoint sent = MonotonicNow();
+  json body = ToJson(table_.MakePing(target.host, sent));
+  AddPiggybacks(body);
+  const Result<PeerReply> reply =
+      co_await client->Call(kPingKind, body, options_.ping_timeout);
+  if (reply.has_error() || is_stopped_) co_return false;
+  const PeerEnvelope& envelope = reply.value().envelope;
+  const Result<Ack> ack = ParseAck(reply.value().body);
+  if (ack.has_error()) co_return false;
+  table_.HandleAck(envelope.sender, envelope.incarnation, ack.value(), sent,
+                   MonotonicNow());
+  NotifyListeners();
+  ReadPiggybacks(envelope.sender, reply.value().body);
+  // Another host may have taken over the address.
+  co_return target.host.value().empty() || envelope.sender == target.host;
+}
+
+asio::awaitable<bool> PeerExchange::PingByRelays(MemberTable::Target target) {
+  const auto relays = table_.ChooseRelays(target.host, random_);
+  if (relays.empty()) co_return false;
+  const json body = ToJson(PingRequest{target.host, target.peer_address});
+  const auto gathering = std::make_shared<Gathering>(executor_, relays.size());
+  const auto has_answered = std::make_shared<bool>(false);
+  for (const MemberTable::Target& relay : relays) {
+    asio::co_spawn(executor_, AskRelay(relay.host, body),
+                   [gathering, has_answered](const std::exception_ptr&,
+                                             bool relay_has_answer) {
+                     if (!gathering->has_open()) return;
+                     if (!relay_has_answer) return gathering->EndOne();
+                     *has_answered = true;
+                     gathering->EndAll();
+                   });
+  }
+  co_await gathering->Wait();
+  co_return *has_answered;
+}
+
+asio::awaitable<bool> PeerExchange::AskRelay(HostId relay, json body) {
+  const Result<json> answer =
+      co_await Call(std::move(relay), kPingRequestKind, std::move(body),
+                    options_.relay_timeout);
+  if (answer.has_error() || !answer.value().is_object()) co_return false;
+  co_return answer.value().value(kAnswered, json(false)) == json(true);
+}
+
+PeerClient* PeerExchange::ClientOf(const std::string& peer_address) {
+  const auto found = clients_.find(peer_address);
+  if (found != clients_.end()) return &found->second;
+  const auto endpoint = ParseEndpoint(peer_address);
+  if (!endpoint) return nullptr;
+  return &clients_
+              .try_emplace(
+                  peer_address, executor_, *endpoint,
+                  PeerClient::Options{
+                      .self = SelfOf(options_.host, options_.incarnation)},
+                  counters_)
+              .first->second;
+}
+
+void PeerExchange::CloseIdleClients() {
+  const TimePoint now = MonotonicNow();
+  std::erase_if(clients_, [&](const auto& item) {
+    const PeerClient& client = item.second;
+    const Duration limit =
+        client.is_connected() ? options_.idle_limit : kUnconnectedLimit;
+    return !client.has_open_calls() && now - client.newest_use() > limit;
+  });
+  if (clients_.size() <= options_.most_connections) return;
+  std::vector<std::pair<TimePoint, std::string>> idle;
+  for (const auto& [address, client] : clients_) {
+    if (!client.has_open_calls())
+      idle.emplace_back(client.newest_use(), address);
+  }
+  std::sort(idle.begin(), idle.end());
+  for (const auto& [time, address] : idle) {
+    if (clients_.size() <= options_.most_connections) break;
+    clients_.erase(address);
+  }
+}
+
+void PeerExchange::AddPiggybacks(json& body) const {
+  for (const auto& [name, piggyback] : piggybacks_) {
+    json value = piggyback.source();
+    if (!value.is_null()) body[kPiggybacks][name] = std::move(value);
+  }
+}
+
+void PeerExchange::ReadPiggybacks(const HostId& from, const json& body) const {
+  const auto values = body.find(kPiggybacks);
+  if (values == body.end() || !values->is_object()) return;
+  for (const auto& [name, value] : values->items()) {
+    const auto found = piggybacks_.find(name);
+    if (found != piggybacks_.end()) found->second.sink(from, value);
+  }
+}
+
+void PeerExchange::NotifyListeners() {
+  if (table_.view_version() == notified_version_) return;
+  notified_version_ = table_.view_version();
+  // A raised counter changes the table and not the view.
+  std::vector<Member> members = table_.members();
+  if (members == notified_members_) return;
+  notified_members_ = std::move(members);
+  const std::vector<Member> view = notified_members_;
+  // A listener may add another one.
+  for (std::size_t i = 0; i < listeners_.size(); ++i) listeners_[i](view);
+}
+
+}  // namespace dogwood
--- /dev/null
+++ b/scripts/bench_control.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Measures the cost of group membership per node: starts 6, 18 and 54 peer-exchange-node processes
+# on loopback and writes build/bench/control.json. Usage: bench_control.sh [HOSTS...]
+# Environment: SECONDS_MEASURED (6).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+node=build/bin/peer-exchange-node
+[ -x "$node" ] || scripts/build.sh peer-exchange-node > /dev/null
+sizes=("$@")
+[ ${#sizes[@]} -gt 0 ] || sizes=(6 18 54)
+measured="${SECONDS_MEASURED:-6}"
+# Below the range of ephemeral ports, so that no outgoing connection takes it.
+port=18080
+mkdir -p build/bench
+output=$(mktemp -d)
+pids=()
+# Ends exactly the processes that this script started.
+finish() {
+  for pid in "${pids[@]}"; do kill "$pid" 2> /dev/null || true; done
+  rm -rf "$output"
+}
+trap finish EXIT
+for hosts in "${sizes[@]}"; do
+  pids=()
+  # A host pings each other one within a quarter of a second times their number, and opens its
+  # connection then; the figures are those of the time after.
+  warmup=$((4 + (hosts * 3 + 9) / 10))
+  seeds="127.0.50.1:$port,127.0.50.2:$port"
+  for number in $(seq 1 "$hosts"); do
+    "$node" --host "host-$number" --zone "zone-$((number % 3 + 1))" \
+      --listen "127.0.50.$number:$port" --seeds "$seeds" \
+      --seconds "$measured" --warmup "$warmup" > "$output/$hosts-$number.json" &
+    pids+=($!)
+  done
+  # The nodes end on their own; a node that does not is killed by finish().
+  for pid in "${pids[@]}"; do wait "$pid"; done
+  pids=()
+done
+python3 - "$output" build/bench/control.json "${sizes[@]}" << 'END'
+import glob, json, sys
+folder, target, sizes = sys.argv[1], sys.argv[2], [int(s) for s in sys.argv[3:]]
+rows = []
+names = ["bytes_per_second", "payload_bytes_per_second", "messages_per_second", "cpu_percent",
+         "memory_mb", "connections"]
+print(f"{'hosts':>5} {'members':>8}  " + "  ".join(f"{n + ' mean/max':>34}" for n in names[:5]))
+for size in sizes:
+    nodes = [json.load(open(f)) for f in glob.glob(f"{folder}/{size}-*.json")]
+    assert len(nodes) == size, f"{len(nodes)} of {size} nodes reported"
+    row = {"hosts": size, "members_seen_least": min(n["members"] for n in nodes) + 1}
+    for name in names:
+        values = [n[name] for n in nodes]
+        row[name] = round(sum(values) / size, 3)
+        row[name + "_max"] = round(max(values), 3)
+    rows.append(row)
+    print(f"{size:>5} {row['members_seen_least']:>8}  " +
+          "  ".join(f"{row[n]:>22.2f} / {row[n + '_max']:>9.2f}" for n in names[:5]))
+json.dump(rows, open(target, "w"), indent=1)
+END
