--- a/Libraries/Membership/member_messages.cc
+++ b/Libraries/Membership/member_messages.cc
@@ -27,7 +27,7 @@
 json RecordToJson(const MemberRecord& record) {
   return json::array({record.host.value(), record.zone.value(),
                       record.peer_address, record.incarnation.value(),
-                      record.refutations, static_cast<int>(record.state)});
+                      record.refutations, static_cast<unsigned>(record.state)});
 }
 
 Result<std::uint64_t> ParseUnsigned(const json& value, std::uint64_t limit) {
--- a/Libraries/Membership/member_table.cc
+++ b/Libraries/Membership/member_table.cc
@@ -8,9 +8,10 @@
 namespace dogwood {
 namespace {
 
-// A record is told to others at most this factor * log2(members + 2) times,
-// after which a SWIM rumour has reached everyone with high probability.
-constexpr double kSendFactor = 3;
+// A record is told to others at most this factor * log2(members + 2) times.
+// Pings and acknowledgements both count, and differing digests make up for what
+// a rumour misses.
+constexpr double kSendFactor = 1.5;
 // Tries to find a contact that is no member yet, which bounds the cost of a
 // probe on a long host list.
 constexpr int kContactTries = 8;
--- a/scripts/bench_control.sh
+++ b/scripts/bench_control.sh
@@ -1,14 +1,19 @@
 #!/usr/bin/env bash
 # Measures the cost of group membership per node: starts 6, 18 and 54 peer-exchange-node processes
 # on loopback and writes build/bench/control.json. Usage: bench_control.sh [HOSTS...]
-# Environment: SECONDS_MEASURED (6).
+# Environment: SECONDS_MEASURED (10).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 node=build/bin/peer-exchange-node
 [ -x "$node" ] || scripts/build.sh peer-exchange-node > /dev/null
 sizes=("$@")
 [ ${#sizes[@]} -gt 0 ] || sizes=(6 18 54)
-measured="${SECONDS_MEASURED:-6}"
+measured="${SECONDS_MEASURED:-10}"
+# A host pings each other one within a quarter of a second times their number, and opens its
+# connection then; the figures are those of the time after.
+largest=0
+for hosts in "${sizes[@]}"; do [ "$hosts" -le "$largest" ] || largest=$hosts; done
+warmup=$((8 + largest * 2 / 5))
 # Below the range of ephemeral ports, so that no outgoing connection takes it.
 port=18080
 mkdir -p build/bench
@@ -20,11 +25,9 @@
   rm -rf "$output"
 }
 trap finish EXIT
+# All sizes run at once, each with a port of its own.
 for hosts in "${sizes[@]}"; do
-  pids=()
-  # A host pings each other one within a quarter of a second times their number, and opens its
-  # connection then; the figures are those of the time after.
-  warmup=$((4 + (hosts * 3 + 9) / 10))
+  port=$((port + 1))
   seeds="127.0.50.1:$port,127.0.50.2:$port"
   for number in $(seq 1 "$hosts"); do
     "$node" --host "host-$number" --zone "zone-$((number % 3 + 1))" \
@@ -32,10 +35,10 @@
       --seconds "$measured" --warmup "$warmup" > "$output/$hosts-$number.json" &
     pids+=($!)
   done
-  # The nodes end on their own; a node that does not is killed by finish().
-  for pid in "${pids[@]}"; do wait "$pid"; done
-  pids=()
 done
+# The nodes end on their own; finish() ends those that do not.
+for pid in "${pids[@]}"; do wait "$pid"; done
+pids=()
 python3 - "$output" build/bench/control.json "${sizes[@]}" << 'END'
 import glob, json, sys
 folder, target, sizes = sys.argv[1], sys.argv[2], [int(s) for s in sys.argv[3:]]
