--- a/Tests/Libraries/PeerLink/peer_link_test.cc
+++ b/Tests/Libraries/PeerLink/peer_link_test.cc
@@ -6,12 +6,15 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <nlohmann/json.hpp>
 
+#include "Libraries/PeerLink/http2_connection.h"
+
 namespace dogwood {
 namespace {
 
@@ -69,6 +72,65 @@
   PeerClient client;
 };
 
+// Sends messages that PeerClient would not.
+class RawClient : public Http2Connection {
+ public:
+  using Http2Connection::Http2Connection;
+
+  static std::shared_ptr<RawClient> Connect(Link& link) {
+    tcp::socket socket(link.io);
+    socket.connect(link.server.local_endpoint());
+    auto client =
+        std::make_shared<RawClient>(std::move(socket), Role::kClient, Limits{},
+                                    std::make_shared<LinkCounters>());
+    client->Start();
+    return client;
+  }
+
+  void Send(std::string_view path, std::string_view version,
+            std::string_view sender, std::string_view incarnation,
+            std::vector<std::uint8_t> body) {
+    const std::array<Header, 7> headers{{{":method", "POST"},
+                                         {":scheme", "http"},
+                                         {":authority", "peer"},
+                                         {":path", path},
+                                         {"version", version},
+                                         {"sender", sender},
+                                         {"incarnation", incarnation}}};
+    REQUIRE(SubmitRequest(headers, std::move(body), 1).has_value());
+  }
+
+  std::vector<int> statuses;
+  std::vector<std::string> errors;
+  std::function<void()> on_message = [] {};
+  bool is_closed = false;
+
+ private:
+  void OnMessage(Message message) override {
+    statuses.push_back(message.status);
+    errors.push_back(
+        ErrorFromJson(DecodeBody(message.body).value()).ToString());
+    on_message();
+  }
+  void OnLoss(std::uint64_t, Loss) override {}
+  void OnClosed() override { is_closed = true; }
+};
+
+// Does not answer until released.
+struct SlowHandler {
+  explicit SlowHandler(const std::shared_ptr<asio::steady_timer>& given)
+      : gate(given) {}
+  asio::awaitable<Result<json>> operator()(PeerRequest request) const {
+    if (request.kind == "slow") {
+      boost::system::error_code ignored;
+      co_await gate->async_wait(
+          asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return request.body;
+  }
+  std::shared_ptr<asio::steady_timer> gate;  // shared with the test
+};
+
 TEST_CASE("A message reaches the handler and its response the caller") {
   Link link;
   link.Run([&]() -> asio::awaitable<void> {
@@ -95,5 +157,258 @@
   });
 }
 
+TEST_CASE("Many concurrent messages share one connection") {
+  Link link;
+  constexpr int kCalls = 2000;
+  int answered = 0;
+  link.Run([&]() -> asio::awaitable<void> {
+    asio::steady_timer done(link.io, TimePoint::max());
+    for (int i = 0; i < kCalls; ++i) {
+      asio::co_spawn(
+          link.io,
+          [&, i]() -> asio::awaitable<void> {
+            const json body = i;
+            const auto reply =
+                co_await link.client.Call("echo", body, kLongTimeout);
+            if (reply.has_value() && reply.value().body == body) ++answered;
+            if (answered == kCalls) done.cancel();
+          },
+          asio::detached);
+    }
+    boost::system::error_code ignored;
+    co_await done.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+  });
+  CHECK(answered == kCalls);
+  CHECK(link.counters->connections_opened == 2);
+}
+
+// Guards against a caller that waits forever, or a timeout that costs the
+// connection and with it the other messages.
+TEST_CASE("A timeout resets only its own stream") {
+  std::shared_ptr<asio::steady_timer> gate;
+  Link link([&gate](PeerRequest request) -> asio::awaitable<Result<json>> {
+    return SlowHandler(gate)(std::move(request));
+  });
+  gate = std::make_shared<asio::steady_timer>(link.io, TimePoint::max());
+  link.Run([&]() -> asio::awaitable<void> {
+    const json body = 1;
+    const auto late =
+        co_await link.client.Call("slow", body, std::chrono::milliseconds(20));
+    REQUIRE(late.has_error());
+    CHECK(late.error().code == ErrorCode::kOutcomeUnknown);
+    const auto other = co_await link.client.Call("fast", body, kLongTimeout);
+    CHECK(other.has_value());
+    gate->cancel();
+  });
+  CHECK(link.counters->connections_opened == 2);
+}
+
+// Guards against requests that a stopping host cuts.
+TEST_CASE("A stopping server answers what it has accepted and no more") {
+  std::shared_ptr<asio::steady_timer> gate;
+  Link link([&gate](PeerRequest request) -> asio::awaitable<Result<json>> {
+    return SlowHandler(gate)(std::move(request));
+  });
+  gate = std::make_shared<asio::steady_timer>(link.io, TimePoint::max());
+  bool was_answered = false;
+  link.Run([&]() -> asio::awaitable<void> {
+    const json body = 1;
+    // Its answer shows that the connection is up before the slow call begins.
+    (void)co_await link.client.Call("fast", body, kLongTimeout);
+    asio::co_spawn(
+        link.io,
+        [&]() -> asio::awaitable<void> {
+          const json slow_body = 2;
+          const auto reply =
+              co_await link.client.Call("slow", slow_body, kLongTimeout);
+          was_answered = reply.has_value();
+        },
+        asio::detached);
+    const auto reply = co_await link.client.Call("fast", body, kLongTimeout);
+    CHECK(reply.has_value());
+    link.server.Stop();
+    const auto refused = co_await link.client.Call("fast", body, kLongTimeout);
+    REQUIRE(refused.has_error());
+    CHECK(refused.error().code == ErrorCode::kUnavailable);
+    gate->cancel();
+    // Each failed call gives the loop turns until the answer is in.
+    while (!was_answered && link.client.has_open_calls()) {
+      asio::steady_timer turn(link.io, std::chrono::milliseconds(1));
+      co_await turn.async_wait(asio::use_awaitable);
+    }
+  });
+  CHECK(was_answered);
+}
+
+TEST_CASE("A peer that does not listen gives unavailable") {
+  Link link;
+  link.Run([&]() -> asio::awaitable<void> {
+    tcp::acceptor closed(link.io, AnyPort());
+    const tcp::endpoint endpoint = closed.local_endpoint();
+    closed.close();
+    PeerClient::Options options;
+    options.self = EnvelopeOf("client");
+    PeerClient client(link.io.get_executor(), endpoint, options, link.counters);
+    const json body = 1;
+    for (int i = 0; i < 2; ++i) {  // the second one within the pause
+      const auto reply = co_await client.Call("echo", body, kLongTimeout);
+      REQUIRE(reply.has_error());
+      CHECK(reply.error().code == ErrorCode::kUnavailable);
+    }
+    // A new server on the address is found after the pause.
+    auto server = PeerServer::Listen(link.io.get_executor(), endpoint,
+                                     {.self = EnvelopeOf("again")}, Link::Echo,
+                                     link.counters);
+    REQUIRE(server.has_value());
+    bool has_answer = false;
+    while (!has_answer) {
+      const auto reply = co_await client.Call("echo", body, kLongTimeout);
+      has_answer = reply.has_value();
+      asio::steady_timer turn(link.io, std::chrono::milliseconds(5));
+      co_await turn.async_wait(asio::use_awaitable);
+    }
+  });
+}
+
+// Guards against a lost response that is reported as not sent, after which a
+// caller would send again what may have run.
+TEST_CASE("A connection lost after sending gives outcome unknown") {
+  Link link;
+  link.Run([&]() -> asio::awaitable<void> {
+    tcp::acceptor acceptor(link.io, AnyPort());
+    asio::co_spawn(
+        link.io,
+        [&]() -> asio::awaitable<void> {
+          tcp::socket socket =
+              co_await acceptor.async_accept(asio::use_awaitable);
+          // Preface, settings, window update, headers and body of the call.
+          std::array<char, 100> bytes;
+          co_await asio::async_read(socket, asio::buffer(bytes),
+                                    asio::use_awaitable);
+          socket.close();
+        },
+        asio::detached);
+    PeerClient::Options options;
+    options.self = EnvelopeOf("client");
+    PeerClient client(link.io.get_executor(), acceptor.local_endpoint(),
+                      options, link.counters);
+    const json body = std::string(100, 'x');
+    const auto reply = co_await client.Call("echo", body, kLongTimeout);
+    REQUIRE(reply.has_error());
+    CHECK(reply.error().code == ErrorCode::kOutcomeUnknown);
+  });
+}
+
+TEST_CASE("Bytes that are no HTTP/2 end only their own connection") {
+  for (const std::string& bytes :
+       {std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+        std::string("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n") +
+            std::string(100, '\xff')}) {
+    Link link;
+    link.Run([&]() -> asio::awaitable<void> {
+      const json body = 1;
+      CHECK(
+          (co_await link.client.Call("echo", body, kLongTimeout)).has_value());
+      tcp::socket socket(link.io);
+      co_await socket.async_connect(link.server.local_endpoint(),
+                                    asio::use_awaitable);
+      co_await asio::async_write(socket, asio::buffer(bytes),
+                                 asio::use_awaitable);
+      std::vector<char> rest(4096);
+      boost::system::error_code error;
+      while (!error) {  // until the server closes
+        co_await socket.async_read_some(
+            asio::buffer(rest),
+            asio::redirect_error(asio::use_awaitable, error));
+      }
+      CHECK(
+          (co_await link.client.Call("echo", body, kLongTimeout)).has_value());
+    });
+    CHECK(link.counters->connections_opened == 3);
+  }
+}
+
+TEST_CASE("Malformed and oversized messages get an error, not an end") {
+  Link link;
+  std::shared_ptr<RawClient> raw;
+  link.Run([&]() -> asio::awaitable<void> {
+    raw = RawClient::Connect(link);
+    const std::vector<std::uint8_t> good = {0x01};
+    raw->Send("/v2/echo", "1", "raw", "1", good);
+    raw->Send("/v1/", "1", "raw", "1", good);
+    raw->Send("/v1/echo", "2", "raw", "1", good);
+    raw->Send("/v1/echo", "x", "raw", "1", good);
+    raw->Send("/v1/echo", "1", "", "1", good);
+    raw->Send("/v1/echo", "1", "raw", "-1", good);
+    raw->Send("/v1/echo", "1", "raw", "1", {0xff});
+    raw->Send("/v1/echo", "1", "raw", "1", {0x01, 0x02});
+    // An array that claims 2^63 elements, and one nested 60,000 deep.
+    raw->Send("/v1/echo", "1", "raw", "1", {0x9b, 0x80, 0, 0, 0, 0, 0, 0, 0});
+    raw->Send("/v1/echo", "1", "raw", "1",
+              std::vector<std::uint8_t>(60'000, 0x81));
+    raw->Send("/v1/echo", "1", "raw", "1",
+              std::vector<std::uint8_t>(kMessageBytes + 1, 0x01));
+    constexpr std::size_t kRefused = 11;
+    asio::steady_timer done(link.io, TimePoint::max());
+    raw->on_message = [&] {
+      if (raw->statuses.size() == kRefused) done.cancel();
+    };
+    boost::system::error_code ignored;
+    co_await done.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    const json body = 1;
+    CHECK((co_await link.client.Call("echo", body, kLongTimeout)).has_value());
+    CHECK(raw->is_open());
+    raw->Close();
+  });
+  for (const int status : raw->statuses) CHECK(status == 400);
+}
+
+TEST_CASE("The size limit holds in both directions") {
+  Link link([](PeerRequest request) -> asio::awaitable<Result<json>> {
+    const auto size = request.body.get<std::size_t>();
+    co_return json(std::string(size, 'x'));
+  });
+  link.Run([&]() -> asio::awaitable<void> {
+    const json request = std::string(kMessageBytes + 1, 'x');
+    const auto sent = co_await link.client.Call("x", request, kLongTimeout);
+    REQUIRE(sent.has_error());
+    CHECK(sent.error().code == ErrorCode::kInvalidArgument);
+    const json too_much = kMessageBytes + 1;
+    const auto refused = co_await link.client.Call("x", too_much, kLongTimeout);
+    REQUIRE(refused.has_error());
+    CHECK(refused.error().code == ErrorCode::kInvalidArgument);
+    PeerClient::Options options;
+    options.self = EnvelopeOf("small");
+    options.message_bytes = 100;
+    PeerClient small(link.io.get_executor(), link.server.local_endpoint(),
+                     options, link.counters);
+    const json body = 1000;
+    const auto received = co_await small.Call("x", body, kLongTimeout);
+    REQUIRE(received.has_error());
+    CHECK(received.error().code == ErrorCode::kProtocol);
+    const json allowed = 60'000;
+    CHECK((co_await link.client.Call("x", allowed, kLongTimeout)).has_value());
+  });
+}
+
+// Guards against headers or frames that grow the cost of small messages: the
+// budget of a node is 3 KB a second in all.
+TEST_CASE("A repeated small message costs few bytes") {
+  Link link;
+  std::uint64_t bytes = 0;
+  link.Run([&]() -> asio::awaitable<void> {
+    const json body = std::string(58, 'x');  // 60 bytes of CBOR
+    (void)co_await link.client.Call("borrow", body, kLongTimeout);
+    const std::uint64_t before = link.counters->bytes_sent;
+    for (int i = 0; i < 100; ++i)
+      (void)co_await link.client.Call("borrow", body, kLongTimeout);
+    bytes = (link.counters->bytes_sent - before) / 100;
+  });
+  MESSAGE("bytes of one request and response with 60-byte bodies: ", bytes);
+  CHECK(bytes <= 2 * 60 + 60);
+}
+
 }  // namespace
 }  // namespace dogwood
