--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -24,6 +24,17 @@
   kRequestMalformed = 2003,
   kBackendConnectionFailed = 2100,
   kBackendAnswerInvalid = 2101,
+  kSettingsAccepted = 5000,
+  kSettingsInForce = 5001,
+  kSettingsConflict = 5002,
+  kSettingsUnreachable = 5003,
+  kSettingsOutcomeUnknown = 5004,
+  kOrderGiven = 5100,
+  kOrderReceived = 5101,
+  kOrderWritten = 5102,
+  kOrderSuperseded = 5103,
+  kStoreUnavailable = 8000,
+  kStoreAvailable = 8001,
 };
 
 struct EventDescription {
--- a/Libraries/Settings/fleet_configuration.cc
+++ b/Libraries/Settings/fleet_configuration.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "Libraries/Settings/setting_keys.h"
+
 namespace dogwood {
 namespace {
 
@@ -25,7 +27,7 @@
   Result<std::uint64_t> Count(const char* name, std::uint64_t fallback) const {
     const auto found = object_.find(name);
     if (found == object_.end()) return fallback;
-    if (!found->is_number_unsigned())
+    if (!found->is_number_integer() || found->get<std::int64_t>() < 0)
       return Expected(name, "a whole number of 0 or more");
     return found->get<std::uint64_t>();
   }
@@ -95,6 +97,14 @@
   return service;
 }
 
+SettingsOverrides ReadOverrides(const Json& holder) {
+  SettingsOverrides overrides;
+  if (!holder.contains("settings")) return overrides;
+  for (const auto& [key, value] : holder.at("settings").items())
+    overrides.emplace(key, value.get<double>());
+  return overrides;
+}
+
 Result<ZoneConfiguration> ReadZone(const std::string& name, const Json& json) {
   const ObjectReader reader(json, "zones." + name);
   ZoneConfiguration zone;
@@ -102,6 +112,7 @@
   TRY_ASSIGN(zone.placement, reader.PlacementOf("state", "out"));
   TRY_ASSIGN(const std::uint64_t limit, reader.Count("limit", 0));
   zone.limit = static_cast<std::uint32_t>(limit);
+  zone.overrides = ReadOverrides(json);
   return zone;
 }
 
@@ -110,6 +121,7 @@
   const std::string path = "parties." + name;
   PartyConfiguration party;
   party.id = PartyId(name);
+  party.overrides = ReadOverrides(json);
   TRY_ASSIGN(const Json agreements,
              ObjectReader(json, path).Members("agreements"));
   for (const auto& [service, value] : agreements.items()) {
@@ -123,19 +135,96 @@
   return party;
 }
 
+Duration Milliseconds(double count) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(count));
+}
+
+void ApplySetting(ServiceSettings& settings, std::string_view key,
+                  double value) {
+  const auto count = static_cast<std::uint32_t>(value);
+  if (key == "probes_per_second") settings.probes_per_second = value;
+  if (key == "queue_limit") settings.queue_limit = count;
+  if (key == "retry_budget_percent") settings.retry_budget_percent = value;
+  if (key == "cold_limit") settings.cold_limit = count;
+  if (key == "permit_takeover_delay_ms")
+    settings.permit_takeover_delay = Milliseconds(value);
+  if (key == "permit_lease_ms") settings.permit_lease = Milliseconds(value);
+  if (key == "connection_limit") settings.connection_limit = count;
+  if (key == "default_deadline_ms")
+    settings.default_deadline = Milliseconds(value);
+}
+
+ServiceSettings ReadServiceSettings(const SettingsTree& tree,
+                                    const ServiceId& service) {
+  ServiceSettings settings;
+  for (const InheritedKey& inherited : InheritedKeys()) {
+    if (inherited.reach != InheritedKey::Reach::kService) continue;
+    const std::string_view key = inherited.key.path;
+    const Json value = tree.Effective(key, {.service = service}).value();
+    ApplySetting(settings, key, value.get<double>());
+  }
+  return settings;
+}
+
+FleetSettings ReadFleetSettings(const SettingsTree& tree) {
+  const auto number = [&](const char* key) {
+    return tree.Effective(key, {}).value().get<double>();
+  };
+  constexpr double kMsPerSecond = 1000;
+  constexpr double kMsPerHour = 3600 * kMsPerSecond;
+  FleetSettings settings;
+  settings.claims_commit_interval =
+      Milliseconds(number("claims.commit_interval_ms"));
+  settings.claims_remembered =
+      Milliseconds(number("claims.remember_hours") * kMsPerHour);
+  settings.usage_write_interval =
+      Milliseconds(number("usage.write_interval_ms"));
+  settings.usage_reservation =
+      Milliseconds(number("usage.reservation_seconds") * kMsPerSecond);
+  return settings;
+}
+
 }  // namespace
 
+ServiceSettings FleetConfiguration::SettingsOf(const ServiceId& service,
+                                               const ZoneId& zone,
+                                               const PartyId& party) const {
+  ServiceSettings settings;
+  if (const auto found = services.find(service); found != services.end())
+    settings = found->second.settings;
+  if (const auto found = zones.find(zone); found != zones.end()) {
+    for (const auto& [key, value] : found->second.overrides)
+      ApplySetting(settings, key, value);
+  }
+  if (const auto found = parties.find(party); found != parties.end()) {
+    for (const auto& [key, value] : found->second.overrides)
+      ApplySetting(settings, key, value);
+  }
+  return settings;
+}
+
 Result<FleetConfiguration> FleetConfiguration::Parse(std::string_view json) {
   const Json root = Json::parse(json, nullptr, /*allow_exceptions=*/false);
   if (!root.is_object()) {
     return Fail(ErrorCode::kInvalidArgument,
                 "the fleet configuration is not a JSON object");
   }
+  return FromTree(SettingsTree(root), SettingsVersion());
+}
+
+Result<FleetConfiguration> FleetConfiguration::FromTree(
+    const SettingsTree& tree, SettingsVersion version) {
+  const Json& root = tree.root();
+  TRY(FleetKeys().Validate(root, "fleet"));
   const ObjectReader reader(root, "fleet");
   FleetConfiguration fleet;
+  fleet.version = version;
+  fleet.settings = ReadFleetSettings(tree);
   TRY_ASSIGN(const Json services, reader.Members("services"));
   for (const auto& [name, value] : services.items()) {
     TRY_ASSIGN(ServiceConfiguration service, ReadService(name, value));
+    service.settings = ReadServiceSettings(tree, service.id);
     fleet.services.emplace(service.id, std::move(service));
   }
   TRY_ASSIGN(const Json zones, reader.Members("zones"));
--- /dev/null
+++ b/Services/Entry/settings_service.cc
@@ -0,0 +1,607 @@
+#include "Services/Entry/settings_service.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Libraries/Platform/object_store.h"
+#include "Services/Entry/settings_rows.h"
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+constexpr std::size_t kMostAttempts = 32;
+constexpr std::size_t kStartPeers = 2;
+constexpr std::size_t kScanLimit = 256;
+// Changes that are cheaper to replay than a snapshot is to read.
+constexpr std::uint64_t kReplayedChanges = 1024;
+constexpr const char* kChangesKind = "settings-changes";
+constexpr const char* kOrdersKind = "orders";
+
+std::int64_t WallMicroseconds() { return WallNow().time_since_epoch().count(); }
+
+SettingsVersion HeadVersion(const TableRow& row) {
+  return SettingsVersion(row.version);
+}
+
+}  // namespace
+
+SettingsService::SettingsService(asio::any_io_executor executor,
+                                 Options options, TableStore& store,
+                                 PeerChannel& peers, EventLog* events,
+                                 Publisher publisher)
+    : executor_(std::move(executor)),
+      options_(std::move(options)),
+      store_(store),
+      peers_(peers),
+      events_(events),
+      publisher_(std::move(publisher)),
+      timer_(executor_) {
+  peers_.Handle(kChangesKind, [this](HostId from, Json body) {
+    return HandleChanges(std::move(from), std::move(body));
+  });
+  peers_.Handle(kOrdersKind, [this](const HostId&, Json body) {
+    return HandleOrders(std::move(body));
+  });
+  peers_.AddPiggyback(
+      "settings",
+      [this] {
+        return Json{{"version", chain_.version().value()},
+                    {"orders", OrdersDigest()}};
+      },
+      [this](const HostId& from, const Json& value) {
+        ReadPiggyback(from, value);
+      });
+}
+
+asio::awaitable<Result<void>> SettingsService::Start() {
+  Fetched reached = co_await FetchFromStore(SettingsVersion(UINT64_MAX));
+  std::size_t asked = 0;
+  for (const Member& member : peers_.members()) {
+    if (asked++ == kStartPeers) break;
+    HostId peer = member.host;
+    const Fetched answer = co_await FetchFromPeer(std::move(peer));
+    if (answer == Fetched::kAnswered) reached = Fetched::kAnswered;
+  }
+  if (reached == Fetched::kNothing) {
+    Record(EventId::kSettingsUnreachable, "", chain_.version(), "");
+    co_return Fail(ErrorCode::kUnavailable,
+                   "settings: neither the store nor a peer can be reached");
+  }
+  is_ready_ = true;
+  Publish();
+  co_return outcome::success();
+}
+
+asio::awaitable<void> SettingsService::Run() {
+  while (!is_stopping_) {
+    const Result<void> started = co_await Start();
+    if (started) break;
+    co_await Wait(options_.poll_interval);
+  }
+  while (!is_stopping_) {
+    timer_.expires_after(current_poll_interval());
+    co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!is_stopping_) co_await PollStore();
+  }
+}
+
+void SettingsService::Stop() {
+  is_stopping_ = true;
+  timer_.cancel();
+}
+
+Duration SettingsService::current_poll_interval() const {
+  return options_.poll_interval *
+         static_cast<std::int64_t>(peers_.members().size() + 1);
+}
+
+asio::awaitable<Result<ChangeOutcome>> SettingsService::Submit(
+    ChangeRequest request) {
+  if (!is_ready_) {
+    co_return Fail(ErrorCode::kUnavailable,
+                   "settings: this host has no settings yet");
+  }
+  if (request.base == SettingsVersion()) request.base = chain_.version();
+  bool may_have_committed = false;
+  for (std::size_t attempt = 0; attempt < kMostAttempts; ++attempt) {
+    bool is_decided = true;
+    ChangeRequest copy = request;
+    Result<ChangeOutcome> outcome =
+        co_await SubmitOnce(std::move(copy), may_have_committed, is_decided);
+    if (is_decided) co_return outcome;
+    co_await Wait(options_.retry_delay);
+  }
+  if (IsEmergencyPath(request.path)) co_return GiveOrder(request);
+  if (may_have_committed) {
+    Record(EventId::kSettingsOutcomeUnknown, request.id.value(),
+           chain_.version(), request.path);
+    co_return Fail(ErrorCode::kOutcomeUnknown,
+                   "settings: the change may have been accepted; repeat it "
+                   "with operation id " +
+                       request.id.value());
+  }
+  co_return Fail(ErrorCode::kUnavailable,
+                 "settings: the newest changes could not be read; the change "
+                 "was not accepted");
+}
+
+// One attempt. Leaves `is_decided` false when it is to be repeated. Repeating a
+// commit whose answer was lost is safe: it checks that the operation row is
+// absent, and the lost one checks a head that can never come back.
+asio::awaitable<Result<ChangeOutcome>> SettingsService::SubmitOnce(
+    ChangeRequest request, bool& may_have_committed, bool& is_decided) {
+  Result<SettingsChain::Prepared> prepared =
+      chain_.Prepare(request, WallMicroseconds());
+  if (!prepared) co_return prepared.error();
+  if (const auto* accepted = std::get_if<AlreadyAccepted>(&prepared.value()))
+    co_return ChangeOutcome(ChangeAccepted{accepted->version});
+  if (const auto* conflict = std::get_if<ChangeConflict>(&prepared.value())) {
+    // The operation may be older than the kept changes.
+    ChangeRequest copy = request;
+    const auto earlier = co_await ReadOperation(std::move(copy));
+    if (!earlier) co_return earlier.error();
+    if (earlier.value()) co_return *earlier.value();
+    Record(EventId::kSettingsConflict, request.id.value(), conflict->version,
+           request.path);
+    co_return ChangeOutcome(*conflict);
+  }
+  const auto& change = std::get<SettingsChange>(prepared.value());
+  const bool is_emergency = IsEmergencyPath(request.path);
+  SettingsChange copy = change;
+  const CommitResult result = co_await CommitChange(
+      std::move(copy),
+      is_emergency ? options_.emergency_timeout : options_.store_timeout);
+  if (std::holds_alternative<Committed>(result)) {
+    AcceptCommitted(change);
+    co_return ChangeOutcome(ChangeAccepted{change.version});
+  }
+  if (const auto* conflict = std::get_if<CommitConflict>(&result)) {
+    SettingsVersion head;
+    std::string operation;
+    for (const TableRow& row : conflict->current) {
+      if (row.key == kHeadKey) head = HeadVersion(row);
+      if (row.key == OperationKey(request.id)) operation = row.value;
+    }
+    co_await CatchUp(head);
+    if (!operation.empty()) co_return OutcomeOf(request, operation);
+  } else {
+    const bool is_unknown = std::holds_alternative<CommitUnknown>(result);
+    may_have_committed = may_have_committed || is_unknown;
+    if (is_emergency) co_return GiveOrder(request);
+    if (!may_have_committed) {
+      co_return Fail(ErrorCode::kUnavailable,
+                     "settings: the store cannot be reached; the change was "
+                     "not accepted");
+    }
+    ChangeRequest again = request;
+    const auto read = co_await ReadOperation(std::move(again));
+    if (!read) co_return read.error();
+    if (read.value()) {
+      co_await CatchUp(SettingsVersion(change.version));
+      co_return *read.value();
+    }
+  }
+  is_decided = false;
+  co_return Fail(ErrorCode::kUnavailable, "not decided");
+}
+
+asio::awaitable<CommitResult> SettingsService::CommitChange(
+    SettingsChange change, Duration timeout) {
+  TableCommit commit = CommitOf(change, chain_.tree());
+  CommitResult result = co_await store_.Commit(std::move(commit), timeout);
+  NoteStore(!std::holds_alternative<CommitUnavailable>(result) &&
+            !std::holds_alternative<CommitUnknown>(result));
+  co_return result;
+}
+
+asio::awaitable<Result<std::optional<ChangeOutcome>>>
+SettingsService::ReadOperation(ChangeRequest request) {
+  std::string key = OperationKey(request.id);
+  const Result<TableRow> row =
+      co_await store_.Read(std::move(key), options_.store_timeout);
+  std::optional<ChangeOutcome> found;
+  if (!row || row.value().version == 0) co_return found;
+  Result<ChangeOutcome> outcome = OutcomeOf(request, row.value().value);
+  if (!outcome) co_return outcome.error();
+  found = std::move(outcome).value();
+  co_return found;
+}
+
+Result<ChangeOutcome> SettingsService::OutcomeOf(const ChangeRequest& request,
+                                                 const std::string& row) {
+  TRY_ASSIGN(const OperationRow operation, OperationRow::Parse(row));
+  if (operation.path != request.path || operation.value != request.value) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "operation " + request.id.value() +
+                    " was already used to change " + operation.path);
+  }
+  if (operation.is_superseded) {
+    return ChangeOutcome(ChangeConflict{operation.version, request.path,
+                                        chain_.tree().At(request.path),
+                                        request.value});
+  }
+  return ChangeOutcome(ChangeAccepted{operation.version});
+}
+
+Result<ChangeOutcome> SettingsService::GiveOrder(const ChangeRequest& request) {
+  TRY_ASSIGN(const EmergencyOrder order,
+             chain_.GiveOrder(request, WallMicroseconds()));
+  Record(EventId::kOrderGiven, request.id.value(), chain_.version(),
+         request.path);
+  Publish();
+  peers_.Broadcast(kOrdersKind, OrdersMessage());
+  return ChangeOutcome(ChangeProvisional{order});
+}
+
+asio::awaitable<void> SettingsService::PollStore() {
+  const Result<TableRow> head =
+      co_await store_.Read(kHeadKey, options_.store_timeout);
+  NoteStore(head.has_value());
+  if (!head) co_return;
+  co_await CatchUp(HeadVersion(head.value()));
+  if (!chain_.orders().empty()) co_await WriteOrders();
+}
+
+asio::awaitable<SettingsService::Fetched> SettingsService::FetchFromStore(
+    SettingsVersion target) {
+  const SettingsVersion before = chain_.version();
+  Fetched fetched = Fetched::kNothing;
+  if (target.value() - before.value() > kReplayedChanges) {
+    const Result<TableRow> row =
+        co_await store_.Read(kSnapshotKey, options_.store_timeout);
+    if (!row) co_return fetched;
+    if (row.value().version != 0) ApplyMessage(ParseRow(row.value().value));
+  }
+  while (chain_.version() < target) {
+    std::string after = ChangeKey(chain_.version());
+    const Result<std::vector<TableRow>> rows = co_await store_.Scan(
+        kChangePrefix, std::move(after), kScanLimit, options_.store_timeout);
+    if (!rows) break;
+    fetched = Fetched::kAnswered;
+    for (const TableRow& row : rows.value()) {
+      const auto change = SettingsChange::FromJson(ParseRow(row.value));
+      if (!change || !chain_.Apply(change.value())) break;
+    }
+    if (rows.value().size() < kScanLimit) break;
+  }
+  if (chain_.version() > before && is_ready_) Publish();
+  co_return fetched;
+}
+
+asio::awaitable<SettingsService::Fetched> SettingsService::FetchFromPeer(
+    HostId peer) {
+  Fetched fetched = Fetched::kNothing;
+  while (true) {
+    Json body{{"after", chain_.version().value()}};
+    HostId to = peer;
+    std::string kind = kChangesKind;
+    const Result<Json> answer = co_await peers_.Call(
+        std::move(to), std::move(kind), std::move(body), options_.peer_timeout);
+    if (!answer) break;
+    fetched = Fetched::kAnswered;
+    if (answer.value().contains("version") &&
+        answer.value().at("version").is_number_integer()) {
+      SettingsVersion& reported = reported_[peer];
+      reported = std::max(
+          reported,
+          SettingsVersion(answer.value().at("version").get<std::uint64_t>()));
+    }
+    const bool has_orders = answer.value().contains("orders") &&
+                            MergeOrders(answer.value().at("orders"));
+    const bool has_changes = ApplyMessage(answer.value());
+    if ((has_changes || has_orders) && is_ready_) Publish();
+    if (!has_changes) break;
+  }
+  co_return fetched;
+}
+
+asio::awaitable<void> SettingsService::CatchUp(SettingsVersion target) {
+  if (chain_.version() >= target) co_return;
+  co_await FetchFromStore(target);
+  // A stale read of the store may lack the newest changes.
+  std::size_t asked = 0;
+  for (const Member& member : peers_.members()) {
+    if (chain_.version() >= target || asked == kStartPeers) break;
+    const auto reported = reported_.find(member.host);
+    if (reported == reported_.end() || reported->second <= chain_.version())
+      continue;
+    ++asked;
+    HostId peer = member.host;
+    co_await FetchFromPeer(std::move(peer));
+  }
+}
+
+asio::awaitable<void> SettingsService::WriteOrders() {
+  for (const EmergencyOrder& order : chain_.orders()) {
+    EmergencyOrder copy = order;
+    const bool should_continue = co_await WriteOrder(std::move(copy));
+    if (!should_continue) co_return;
+  }
+}
+
+// Returns whether the order is ended.
+asio::awaitable<bool> SettingsService::WriteOrder(EmergencyOrder order) {
+  // Without the changes since then this host cannot tell whether the order is
+  // superseded; hosts that were running do it.
+  if (!chain_.has_changes_since(order.rank.version)) co_return false;
+  ChangeRequest request{order.rank.id, order.path, order.value, order.author,
+                        chain_.version()};
+  std::optional<SettingsVersion> superseded = chain_.SupersededBy(order);
+  Result<SettingsChain::Prepared> prepared =
+      chain_.Prepare(request, order.wall_us);
+  // The subject was removed by a later change.
+  if (!prepared && !superseded) superseded = chain_.version();
+  CommitResult result;
+  SettingsChange change;
+  if (superseded) {
+    TableCommit commit = SupersededCommit(order, *superseded);
+    result = co_await store_.Commit(std::move(commit), options_.store_timeout);
+  } else {
+    change = std::get<SettingsChange>(prepared.value());
+    change.order = order.rank;
+    SettingsChange copy = change;
+    result = co_await CommitChange(std::move(copy), options_.store_timeout);
+  }
+  if (std::holds_alternative<Committed>(result)) {
+    if (superseded) {
+      ResolveSuperseded(order, *superseded);
+    } else {
+      AcceptCommitted(change);
+      Record(EventId::kOrderWritten, order.rank.id.value(), change.version,
+             order.path);
+    }
+    co_return true;
+  }
+  const auto* conflict = std::get_if<CommitConflict>(&result);
+  if (conflict == nullptr) co_return false;
+  for (const TableRow& row : conflict->current) {
+    if (row.key == kHeadKey) co_await CatchUp(HeadVersion(row));
+    if (row.key != OperationKey(order.rank.id)) continue;
+    const auto operation = OperationRow::Parse(row.value);
+    if (!operation) continue;
+    if (operation.value().is_superseded) {
+      ResolveSuperseded(order, operation.value().version);
+      co_return true;
+    }
+    co_await CatchUp(operation.value().version);
+    co_return chain_.version() >= operation.value().version;
+  }
+  co_return false;
+}
+
+asio::awaitable<void> SettingsService::ExchangeOrders(HostId peer) {
+  if (is_exchanging_) co_return;
+  is_exchanging_ = true;
+  Json body = OrdersMessage();
+  std::string kind = kOrdersKind;
+  const Result<Json> answer = co_await peers_.Call(
+      std::move(peer), std::move(kind), std::move(body), options_.peer_timeout);
+  is_exchanging_ = false;
+  if (answer && answer.value().contains("orders") &&
+      MergeOrders(answer.value().at("orders")) && is_ready_)
+    Publish();
+}
+
+asio::awaitable<void> SettingsService::Wait(Duration duration) {
+  if (duration <= Duration::zero() || is_stopping_) co_return;
+  asio::steady_timer timer(executor_, duration);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<OperationState> SettingsService::StateOf(OperationId id) {
+  OperationState state;
+  for (const EmergencyOrder& order : chain_.orders()) {
+    if (order.rank.id == id) state.kind = OperationState::Kind::kProvisional;
+  }
+  if (const auto found = chain_.superseded().find(id);
+      found != chain_.superseded().end()) {
+    state.kind = OperationState::Kind::kSuperseded;
+    state.version = found->second;
+  } else if (const auto version = chain_.VersionOf(id)) {
+    state.kind = OperationState::Kind::kAccepted;
+    state.version = *version;
+  } else if (state.kind == OperationState::Kind::kUnknown) {
+    std::string key = OperationKey(id);
+    const Result<TableRow> row =
+        co_await store_.Read(std::move(key), options_.store_timeout);
+    if (!row || row.value().version == 0) co_return state;
+    const auto operation = OperationRow::Parse(row.value().value);
+    if (!operation) co_return state;
+    state.kind = operation.value().is_superseded
+                     ? OperationState::Kind::kSuperseded
+                     : OperationState::Kind::kAccepted;
+    state.version = operation.value().version;
+    co_await CatchUp(state.version);
+  }
+  if (state.kind != OperationState::Kind::kAccepted) co_return state;
+  if (chain_.version() < state.version) state.lacking.push_back(options_.host);
+  for (const Member& member : peers_.members()) {
+    if (reported_[member.host] < state.version) {
+      HostId peer = member.host;
+      co_await FetchFromPeer(std::move(peer));
+    }
+    if (reported_[member.host] < state.version)
+      state.lacking.push_back(member.host);
+  }
+  co_return state;
+}
+
+std::map<HostId, SettingsVersion> SettingsService::host_versions() const {
+  std::map<HostId, SettingsVersion> versions;
+  versions[options_.host] = chain_.version();
+  for (const Member& member : peers_.members()) {
+    const auto found = reported_.find(member.host);
+    versions[member.host] =
+        found == reported_.end() ? SettingsVersion() : found->second;
+  }
+  return versions;
+}
+
+asio::awaitable<Result<Json>> SettingsService::HandleChanges(HostId from,
+                                                             Json body) {
+  if (body.contains("changes") && ApplyMessage(body)) {
+    if (is_ready_) Publish();
+  } else if (body.contains("changes")) {
+    ReadPiggyback(from, body);
+  }
+  SettingsVersion after = chain_.version();
+  if (body.contains("after") && body.at("after").is_number_integer())
+    after = SettingsVersion(body.at("after").get<std::uint64_t>());
+  co_return ChangesMessage(after);
+}
+
+asio::awaitable<Result<Json>> SettingsService::HandleOrders(Json body) {
+  if (body.contains("orders") && MergeOrders(body.at("orders")) && is_ready_)
+    Publish();
+  co_return OrdersMessage();
+}
+
+void SettingsService::ReadPiggyback(const HostId& from, const Json& value) {
+  if (!value.is_object() || !value.contains("version") ||
+      !value.at("version").is_number_integer())
+    return;
+  const SettingsVersion version(value.at("version").get<std::uint64_t>());
+  // A restarted host may report less than before.
+  reported_[from] = version;
+  if (!is_ready_) return;
+  if (version > chain_.version() && !is_fetching_) {
+    is_fetching_ = true;
+    asio::co_spawn(
+        executor_,
+        [this, from]() -> asio::awaitable<void> {
+          HostId peer = from;
+          co_await FetchFromPeer(std::move(peer));
+          is_fetching_ = false;
+        },
+        asio::detached);
+  }
+  if (value.contains("orders") && value.at("orders") != OrdersDigest()) {
+    asio::co_spawn(
+        executor_,
+        [this, from]() -> asio::awaitable<void> {
+          HostId peer = from;
+          co_await ExchangeOrders(std::move(peer));
+        },
+        asio::detached);
+  }
+}
+
+Json SettingsService::ChangesMessage(SettingsVersion after) const {
+  Json message{{"version", chain_.version().value()},
+               {"orders", OrdersMessage().at("orders")}};
+  const auto changes = chain_.ChangesAfter(after);
+  if (!changes) {
+    message["tree"] = chain_.tree().root();
+    return message;
+  }
+  Json list = Json::array();
+  for (const SettingsChange& change : *changes) {
+    if (list.size() == kScanLimit) break;
+    list.push_back(change.ToJson());
+  }
+  message["changes"] = std::move(list);
+  return message;
+}
+
+bool SettingsService::ApplyMessage(const Json& body) {
+  const SettingsVersion before = chain_.version();
+  if (!body.is_object() || !body.contains("version") ||
+      !body.at("version").is_number_integer())
+    return false;
+  if (body.contains("tree") && body.at("tree").is_object()) {
+    chain_.ApplySnapshot(
+        SettingsVersion(body.at("version").get<std::uint64_t>()),
+        SettingsTree(body.at("tree")));
+  } else if (body.contains("changes")) {
+    for (const Json& json : body.at("changes")) {
+      const auto change = SettingsChange::FromJson(json);
+      if (!change || !chain_.Apply(change.value())) break;
+    }
+  }
+  return chain_.version() > before;
+}
+
+bool SettingsService::MergeOrders(const Json& orders) {
+  bool has_new = false;
+  for (const Json& json : orders) {
+    const auto order = EmergencyOrder::FromJson(json);
+    if (!order || !IsEmergencyPath(order.value().path) ||
+        !chain_.MergeOrder(order.value()))
+      continue;
+    has_new = true;
+    Record(EventId::kOrderReceived, order.value().rank.id.value(),
+           chain_.version(), order.value().path);
+  }
+  return has_new;
+}
+
+Json SettingsService::OrdersMessage() const {
+  Json orders = Json::array();
+  for (const EmergencyOrder& order : chain_.orders())
+    orders.push_back(order.ToJson());
+  return {{"orders", std::move(orders)}};
+}
+
+std::string SettingsService::OrdersDigest() const {
+  constexpr std::size_t kDigestLength = 16;
+  std::string ids;
+  for (const EmergencyOrder& order : chain_.orders())
+    ids += order.rank.id.value() + ' ';
+  return ids.empty() ? ids : Sha256Hex(ids).substr(0, kDigestLength);
+}
+
+void SettingsService::ResolveSuperseded(const EmergencyOrder& order,
+                                        SettingsVersion version) {
+  chain_.ResolveOrder(order.rank.id, version);
+  Record(EventId::kOrderSuperseded, order.rank.id.value(), version, order.path);
+  Publish();
+}
+
+void SettingsService::AcceptCommitted(const SettingsChange& change) {
+  Record(EventId::kSettingsAccepted, change.id.value(), change.version,
+         change.path);
+  if (chain_.Apply(change)) Publish();
+  Json changes = Json::array();
+  changes.push_back(change.ToJson());
+  peers_.Broadcast(kChangesKind, {{"version", change.version.value()},
+                                  {"changes", std::move(changes)}});
+}
+
+void SettingsService::Publish() {
+  auto fleet =
+      FleetConfiguration::FromTree(chain_.EffectiveTree(), chain_.version());
+  if (!fleet) {
+    Record(EventId::kSettingsUnreachable, "", chain_.version(),
+           fleet.error().message);
+    return;
+  }
+  Record(EventId::kSettingsInForce,
+         chain_.changes().empty() ? "" : chain_.changes().back().id.value(),
+         chain_.version(), "");
+  // Shared because request path workers keep using an older configuration
+  // while a newer one is published.
+  publisher_(
+      std::make_shared<const FleetConfiguration>(std::move(fleet).value()));
+}
+
+void SettingsService::NoteStore(bool is_answering) {
+  if (is_answering == is_store_answering_) return;
+  is_store_answering_ = is_answering;
+  Record(is_answering ? EventId::kStoreAvailable : EventId::kStoreUnavailable,
+         "", chain_.version(), "");
+}
+
+void SettingsService::Record(EventId id, const std::string& change,
+                             SettingsVersion version, const std::string& path) {
+  if (events_ == nullptr) return;
+  events_->Record(id, {{"change", change},
+                       {"version", static_cast<std::int64_t>(version.value())},
+                       {"path", path}});
+}
+
+}  // namespace dogwood
