--- a/Services/Entry/operator_api.h
+++ b/Services/Entry/operator_api.h
@@ -25,8 +25,9 @@
 //   /v1/parties {"party","settings"?} and {"party","remove":true}
 //   /v1/agreements {"party","service","calls_per_second","calls_per_month"} or
 //   "remove"
-//   /v1/zones {"zone","limit"?} or "remove", /v1/zones/NAME/out, /v1/zones/NAME/in
-//   /v1/servers {"service","server","address","zone","slots"?} or "remove",
+//   /v1/zones {"zone","limit"?} or "remove", /v1/zones/NAME/out,
+//   /v1/zones/NAME/in /v1/servers
+//   {"service","server","address","zone","slots"?} or "remove",
 //   /v1/servers/SERVICE/NAME/leave, /v1/servers/SERVICE/NAME/return
 // A change answers 200 {"outcome":"accepted","operation","version"}, 202
 // {"outcome":"provisional"}, 409 {"error","path","version","current","wanted"},
--- /dev/null
+++ b/Utilities/ctl/ctl_output.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+#include "Libraries/Core/core.h"
+
+namespace dogwood {
+
+enum class OutputFormat { kTable, kJson, kCsv };
+
+inline constexpr NameTable<OutputFormat, 3> kOutputFormatNames{
+    {{{OutputFormat::kTable, "table"},
+      {OutputFormat::kJson, "json"},
+      {OutputFormat::kCsv, "csv"}}}};
+
+// A JSON answer as text. Tables and CSV have one row per list entry or, for an
+// object, one row per value with its dotted path.
+std::string FormatAnswer(const nlohmann::json& answer, OutputFormat format);
+
+}  // namespace dogwood
