Settings: Test the key tables, the tree and the chain

Cause: the settings library had no tests. Change: differential test of inheritance, validation messages, replay in any order, order merging, reference page. Child iterated a temporary, which made validation accept contradictions; it returns a reference now. Addresses are checked with inet_pton, so that the library does not link Asio.

--- a/Libraries/Settings/key_table.cc
+++ b/Libraries/Settings/key_table.cc
@@ -1,7 +1,9 @@
 #include "Libraries/Settings/key_table.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
+#include <array>
 #include <charconv>
 #include <sstream>
 
@@ -46,12 +48,13 @@
   std::string ip = text.substr(0, colon);
   if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
     ip = ip.substr(1, ip.size() - 2);
-  boost::system::error_code error;
-  boost::asio::ip::make_address(ip, error);
+  std::array<unsigned char, sizeof(in6_addr)> binary{};
+  const bool is_ip = inet_pton(AF_INET, ip.c_str(), binary.data()) == 1 ||
+                     inet_pton(AF_INET6, ip.c_str(), binary.data()) == 1;
   unsigned short port = 0;
   const char* end = text.data() + text.size();
   const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  return !error && parsed.ec == std::errc() && parsed.ptr == end;
+  return is_ip && parsed.ec == std::errc() && parsed.ptr == end;
 }
 
 bool IsChoice(std::string_view choices, const std::string& text) {
--- a/Libraries/Settings/settings_tree.cc
+++ b/Libraries/Settings/settings_tree.cc
@@ -15,8 +15,11 @@
                                                found + ", allowed " + allowed);
 }
 
-Json Child(const Json& node, const char* name) {
-  return node.is_object() ? node.value(name, Json::object()) : Json::object();
+// The member of an object; an empty object when it is absent.
+const Json& Child(const Json& node, const char* name) {
+  static const Json kEmpty = Json::object();
+  const auto found = node.find(name);
+  return found == node.end() ? kEmpty : *found;
 }
 
 }  // namespace
@@ -111,8 +114,8 @@
 }
 
 Result<void> SettingsTree::CheckReferences(const std::string& source) const {
-  const Json services = Child(root_, "services");
-  const Json zones = Child(root_, "zones");
+  const Json& services = Child(root_, "services");
+  const Json& zones = Child(root_, "zones");
   for (const auto& [service, service_value] : services.items()) {
     std::map<std::string, std::string> servers_by_address;
     for (const auto& [name, server] : Child(service_value, "servers").items()) {
--- a/Services/Entry/settings_service.cc
+++ b/Services/Entry/settings_service.cc
@@ -116,7 +116,7 @@
     if (is_decided) co_return outcome;
     co_await Wait(options_.retry_delay);
   }
-  if (IsEmergencyPath(request.path)) co_return GiveOrder(request);
+  if (MayBeOrder(request)) co_return GiveOrder(request);
   if (may_have_committed) {
     Record(EventId::kSettingsOutcomeUnknown, request.id.value(),
            chain_.version(), request.path);
@@ -151,7 +151,7 @@
     co_return ChangeOutcome(*conflict);
   }
   const auto& change = std::get<SettingsChange>(prepared.value());
-  const bool is_emergency = IsEmergencyPath(request.path);
+  const bool is_emergency = MayBeOrder(request);
   SettingsChange copy = change;
   const CommitResult result = co_await CommitChange(
       std::move(copy),
@@ -228,6 +228,12 @@
   return ChangeOutcome(ChangeAccepted{operation.version});
 }
 
+bool SettingsService::MayBeOrder(const ChangeRequest& request) const {
+  const std::string subject = request.path.substr(0, request.path.rfind('.'));
+  return IsEmergencyPath(request.path) && !request.value.is_null() &&
+         chain_.tree().At(subject).is_object();
+}
+
 Result<ChangeOutcome> SettingsService::GiveOrder(const ChangeRequest& request) {
   TRY_ASSIGN(const EmergencyOrder order,
              chain_.GiveOrder(request, WallMicroseconds()));
@@ -369,7 +375,10 @@
       co_return true;
     }
     co_await CatchUp(operation.value().version);
-    co_return chain_.version() >= operation.value().version;
+    if (chain_.version() < operation.value().version) co_return false;
+    // Another host wrote the order.
+    chain_.ResolveOrder(order.rank.id, SettingsVersion());
+    co_return true;
   }
   co_return false;
 }
--- a/Services/Entry/settings_service.h
+++ b/Services/Entry/settings_service.h
@@ -104,6 +104,8 @@
       ChangeRequest request);
   Result<ChangeOutcome> OutcomeOf(const ChangeRequest& request,
                                   const std::string& row);
+  // Whether the request can become an emergency order.
+  bool MayBeOrder(const ChangeRequest& request) const;
   Result<ChangeOutcome> GiveOrder(const ChangeRequest& request);
   boost::asio::awaitable<Fetched> FetchFromStore(SettingsVersion target);
   boost::asio::awaitable<Fetched> FetchFromPeer(HostId peer);
--- /dev/null
+++ b/Tests/Libraries/Settings/settings_test.cc
@@ -0,0 +1,257 @@
+#include "Libraries/Settings/settings.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace dogwood {
+namespace {
+
+using Json = nlohmann::json;
+
+Json SmallFleet() {
+  return Json::parse(R"({
+    "default": {"queue_limit": 100, "claims": {"remember_hours": 48}},
+    "services": {"tracking": {
+      "settings": {"queue_limit": 50},
+      "servers": {"t1": {"address": "127.0.0.1:7001", "zone": "palermo"}}}},
+    "zones": {"palermo": {"settings": {"cold_limit": 2}}, "catania": {}},
+    "parties": {"lesta": {
+      "settings": {"queue_limit": 10},
+      "agreements": {"tracking": {"calls_per_second": 5}}}}})");
+}
+
+std::string ValidationError(const Json& tree) {
+  const auto result = SettingsTree(tree).Validate("fleet.json");
+  return result ? "" : result.error().message;
+}
+
+ChangeRequest Request(const std::string& id, const std::string& path,
+                      Json value, std::uint64_t base) {
+  return {OperationId(id), path, std::move(value), "", SettingsVersion(base)};
+}
+
+// Prepares and applies; the request must be acceptable.
+SettingsVersion Accept(SettingsChain& chain, const std::string& id,
+                       const std::string& path, const Json& value) {
+  const auto prepared =
+      chain.Prepare(Request(id, path, value, chain.version().value()), 0);
+  REQUIRE(prepared.has_value());
+  const auto& change = std::get<SettingsChange>(prepared.value());
+  REQUIRE(chain.Apply(change).value());
+  return change.version;
+}
+
+// Guards against a level that is skipped or ranked wrongly. The naive rule
+// looks at the levels from the least to the most specific.
+TEST_CASE("The most specific level wins for every combination of levels") {
+  CHECK(rc::check(
+      [](bool has_default, bool has_service, bool has_zone, bool has_party) {
+        SettingsTree tree;
+        Json expected = 200;
+        if (has_default) tree.Set("default.queue_limit", expected = 1);
+        if (has_service)
+          tree.Set("services.s.settings.queue_limit", expected = 2);
+        if (has_zone) tree.Set("zones.z.settings.queue_limit", expected = 3);
+        if (has_party) tree.Set("parties.p.settings.queue_limit", expected = 4);
+        const SettingsScope scope{ServiceId("s"), ZoneId("z"), PartyId("p")};
+        RC_ASSERT(tree.Effective("queue_limit", scope).value() == expected);
+        int effective = 0;
+        const auto levels = tree.Explain("queue_limit", scope).value();
+        for (const SettingsLevel& level : levels) {
+          if (!level.is_effective) continue;
+          ++effective;
+          RC_ASSERT(*level.value == expected);
+        }
+        RC_ASSERT(effective == 1);
+        const auto fleet =
+            FleetConfiguration::FromTree(tree, SettingsVersion(3)).value();
+        RC_ASSERT(fleet.SettingsOf(ServiceId("s"), ZoneId("z"), PartyId("p"))
+                          .queue_limit == expected.get<std::uint32_t>() ||
+                  !has_service);
+      }));
+}
+
+TEST_CASE("A fleet configuration holds the effective values") {
+  const auto fleet = FleetConfiguration::FromTree(SettingsTree(SmallFleet()),
+                                                  SettingsVersion(7))
+                         .value();
+  CHECK(fleet.version == SettingsVersion(7));
+  const ServiceId tracking("tracking");
+  CHECK(fleet.services.at(tracking).settings.queue_limit == 50);
+  CHECK(fleet.services.at(tracking).settings.connection_limit == 260);
+  CHECK(fleet.settings.claims_remembered == std::chrono::hours(48));
+  const ServiceSettings settings =
+      fleet.SettingsOf(tracking, ZoneId("palermo"), PartyId("lesta"));
+  CHECK(settings.queue_limit == 10);
+  CHECK(settings.cold_limit == 2);
+}
+
+// Guards against settings that are silently ignored or contradict each other.
+TEST_CASE("Validation names the path, what was found and what is allowed") {
+  CHECK(ValidationError(SmallFleet()).empty());
+  const auto with = [](const char* path, Json value) {
+    SettingsTree tree(SmallFleet());
+    tree.Set(path, value);
+    return ValidationError(tree.root());
+  };
+  CHECK(with("default.queue_limit", -1) ==
+        "fleet.json: default.queue_limit: found -1, allowed whole number from "
+        "0 to 1000000");
+  CHECK(with("default.queue_limit", "many").find("found \"many\"") !=
+        std::string::npos);
+  CHECK(with("default.queue_length", 1).find("unknown key") !=
+        std::string::npos);
+  CHECK(with("zones.catania.settings.claims.remember_hours", 1)
+            .find("unknown key") != std::string::npos);
+  CHECK(with("zones.catania.state", "away").find("in/out") !=
+        std::string::npos);
+  CHECK(with("zones.bad name.state", "in").find("unknown key") !=
+        std::string::npos);
+  CHECK(with("services.tracking.servers.t1.zone", "messina")
+            .find("services.tracking.servers.t1.zone") != std::string::npos);
+  CHECK(with("services.tracking.servers.t1.address", "localhost")
+            .find("allowed IP:PORT") != std::string::npos);
+  CHECK(with("parties.lesta.agreements.proofs.calls_per_second", 1)
+            .find("services that exist") != std::string::npos);
+  CHECK(with("services.tracking.settings.permit_lease_ms", 1500)
+            .find("more than permit_lease_ms") != std::string::npos);
+  CHECK(with("default.usage.write_interval_ms", 10000)
+            .find("usage.reservation_seconds") != std::string::npos);
+}
+
+TEST_CASE("Process settings have defaults and refuse what is wrong") {
+  const std::string good = R"({"host": "h1", "zone": "z1",
+      "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2",
+                 "operators": "127.0.0.1:3"}, "platform": "127.0.0.1:4")";
+  const auto settings = ProcessSettings::Parse(good + "}", "entry.json");
+  REQUIRE(settings.has_value());
+  CHECK(settings.value().listen_peers == "127.0.0.1:2");
+  CHECK(settings.value().workers == 1);
+  CHECK(settings.value().stop_deadline == std::chrono::seconds(300));
+  const auto error = [&](const std::string& extra) {
+    return ProcessSettings::Parse(good + extra + "}", "entry.json")
+        .error()
+        .message;
+  };
+  CHECK(error(R"(, "workers": 0)") ==
+        "entry.json: workers: found 0, allowed whole number from 1 to 256");
+  CHECK(error(R"(, "worker": 1)").find("entry.json: worker: ") == 0);
+  CHECK(error(R"(, "fleet_file": "x")").find("exactly one") !=
+        std::string::npos);
+  CHECK(ProcessSettings::Parse("{}", "entry.json").error().message ==
+        "entry.json: host: found nothing, allowed text");
+  CHECK(ProcessSettings::Parse("{", "entry.json").has_error());
+}
+
+// Guards against a reference page that differs from the program.
+TEST_CASE("docs/settings.md is the text that dogwood-ctl prints") {
+  std::ifstream file(DOGWOOD_SOURCE_DIR "/docs/settings.md");
+  REQUIRE(file.is_open());
+  std::stringstream text;
+  text << file.rdbuf();
+  CHECK(text.str() == SettingsReference());
+}
+
+TEST_CASE("A change of a path that changed since the base is a conflict") {
+  SettingsChain chain;
+  Accept(chain, "a", "default.queue_limit", 1);
+  Accept(chain, "b", "default.cold_limit", 2);
+  const auto stale =
+      chain.Prepare(Request("c", "default.queue_limit", 3, 0), 0).value();
+  REQUIRE(std::holds_alternative<ChangeConflict>(stale));
+  CHECK(std::get<ChangeConflict>(stale).version == SettingsVersion(1));
+  CHECK(std::get<ChangeConflict>(stale).current == 1);
+  CHECK(std::get<ChangeConflict>(stale).wanted == 3);
+  const auto parent = chain.Prepare(Request("d", "default", nullptr, 1), 0);
+  CHECK(std::holds_alternative<ChangeConflict>(parent.value()));
+  const auto other =
+      chain.Prepare(Request("e", "default.queue_limit", 3, 1), 0).value();
+  CHECK(std::holds_alternative<SettingsChange>(other));
+  const auto repeated =
+      chain.Prepare(Request("a", "default.queue_limit", 1, 0), 0).value();
+  REQUIRE(std::holds_alternative<AlreadyAccepted>(repeated));
+  CHECK(chain.Prepare(Request("a", "default.queue_limit", 9, 2), 0)
+            .error()
+            .code == ErrorCode::kInvalidArgument);
+}
+
+// Guards against a host whose settings go back or skip a change.
+TEST_CASE("Replay in any order ends at the same tree and never goes back") {
+  SettingsChain source;
+  for (int i = 1; i <= 8; ++i)
+    Accept(source, "o" + std::to_string(i), "default.queue_limit", i);
+  const std::vector<SettingsChange> changes(source.changes().begin(),
+                                            source.changes().end());
+  CHECK(rc::check([&](std::vector<std::uint8_t> order) {
+    SettingsChain copy;
+    SettingsVersion newest;
+    for (const std::uint8_t index : order) {
+      const auto result = copy.Apply(changes[index % changes.size()]);
+      RC_ASSERT(copy.version() >= newest);
+      const bool is_gap =
+          !result && result.error().code == ErrorCode::kConflict;
+      RC_ASSERT((result.has_value() || is_gap));
+      newest = copy.version();
+    }
+    for (const SettingsChange& change : changes) {
+      const auto reread = SettingsChange::FromJson(change.ToJson()).value();
+      RC_ASSERT(copy.Apply(reread).has_value());
+    }
+    RC_ASSERT(!copy.ApplySnapshot(SettingsVersion(3), SettingsTree()));
+    RC_ASSERT(copy.tree().root() == source.tree().root());
+  }));
+}
+
+// Guards against hosts that settle concurrent orders differently.
+TEST_CASE("Orders merged in any sequence give the same effective tree") {
+  CHECK(rc::check([](std::vector<std::uint8_t> picks) {
+    SettingsChain base;
+    Accept(base, "z", "zones.palermo.limit", 5);
+    std::vector<EmergencyOrder> orders;
+    for (int i = 0; i < 6; ++i) {
+      SettingsChain giver = base;
+      for (int seen = 0; seen < i / 2; ++seen) giver.MergeOrder(orders[seen]);
+      orders.push_back(giver
+                           .GiveOrder(Request("order" + std::to_string(i),
+                                              "zones.palermo.state",
+                                              i % 2 == 0 ? "out" : "in", 0),
+                                      0)
+                           .value());
+    }
+    SettingsChain left = base;
+    SettingsChain right = base;
+    for (const std::uint8_t pick : picks) left.MergeOrder(orders[pick % 6]);
+    for (const EmergencyOrder& order : orders) {
+      left.MergeOrder(order);
+      right.MergeOrder(order);
+    }
+    RC_ASSERT(left.EffectiveTree().root() == right.EffectiveTree().root());
+  }));
+}
+
+TEST_CASE("An order ends when it is written or a later change supersedes it") {
+  SettingsChain chain;
+  Accept(chain, "z", "zones.palermo.limit", 5);
+  CHECK(chain.GiveOrder(Request("x", "zones.messina.state", "out", 0), 0)
+            .error()
+            .code == ErrorCode::kNotFound);
+  CHECK(chain.GiveOrder(Request("x", "zones.palermo.limit", 1, 0), 0)
+            .has_error());
+  const auto order =
+      chain.GiveOrder(Request("x", "zones.palermo.state", "out", 0), 0).value();
+  CHECK(chain.EffectiveTree().At("zones.palermo.state") == "out");
+  CHECK(!chain.SupersededBy(order));
+  SettingsChain other = chain;
+  Accept(chain, "x", "zones.palermo.state", "out");
+  CHECK(chain.orders().empty());
+  CHECK(!chain.MergeOrder(order));
+  Accept(other, "y", "zones.palermo.state", "in");
+  CHECK(other.SupersededBy(order) == SettingsVersion(2));
+  CHECK(other.EffectiveTree().At("zones.palermo.state") == "in");
+}
+
+}  // namespace
+}  // namespace dogwood
--- a/Tests/StandIns/memory_table_store.h
+++ b/Tests/StandIns/memory_table_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <utility>
+#include <vector>
 
 #include "Libraries/Platform/table_store.h"
 #include "Tests/StandIns/platform_table.h"
@@ -16,6 +17,7 @@
     kUnavailable,        // refused, no effect
     kLostAfterEffect,    // committed, answer lost
     kLostWithoutEffect,  // not committed, answer lost
+    kLostLateEffect,     // answer lost, committed by ApplyLate
   };
 
   boost::asio::awaitable<CommitResult> Commit(TableCommit commit,
@@ -30,6 +32,9 @@
         co_return CommitUnknown{};
       case Fate::kLostWithoutEffect:
         co_return CommitUnknown{};
+      case Fate::kLostLateEffect:
+        late.push_back(std::move(commit));
+        co_return CommitUnknown{};
       case Fate::kNormal:
         break;
     }
@@ -51,7 +56,14 @@
     co_return table.Scan(prefix, after, limit, now - stale_reads);
   }
 
+  // Commits what was on its way; a check that no longer holds refuses it.
+  void ApplyLate() {
+    for (const TableCommit& commit : std::exchange(late, {}))
+      (void)table.Commit(commit, now);
+  }
+
   PlatformTable table;
+  std::vector<TableCommit> late;
   TimePoint now{std::chrono::hours(1)};
   bool is_down = false;
   Duration stale_reads{};
