--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -38,6 +38,17 @@
   kClaimCommitUnresolved = 7002,
   kClaimReportAbandoned = 7003,
   kClaimRowInvalid = 7004,
+  kSettingsAccepted = 5000,
+  kSettingsInForce = 5001,
+  kSettingsConflict = 5002,
+  kSettingsUnreachable = 5003,
+  kSettingsOutcomeUnknown = 5004,
+  kOrderGiven = 5100,
+  kOrderReceived = 5101,
+  kOrderWritten = 5102,
+  kOrderSuperseded = 5103,
+  kStoreUnavailable = 8000,
+  kStoreAvailable = 8001,
 };
 
 struct EventDescription {
