Idempotency: Keep the order of a loaded record until the commit

Cause: Finish compared a former holder's sequence with the own epoch, so a key claimed anew after its release stayed in the state claiming, and a repeated claim broke an invariant. Change: the loaded epoch and sequence stay until the commit.

--- a/Libraries/Idempotency/claim_holder.cc
+++ b/Libraries/Idempotency/claim_holder.cc
@@ -106,7 +106,9 @@
   const bool was_released = entry->state == ClaimState::kReleased;
   if (entry->state != ClaimState::kGranted && was_released != is_release)
     return ClaimAnswer{Kind::kDone};
-  table.Apply(record, held->second.row.epoch, entry->sequence, now);
+  // The place in the order stays that of the loaded record until the commit:
+  // the sequence may be another host's.
+  table.Apply(record, entry->epoch, entry->sequence, now);
   pending_.push_back({record, {ticket}});
   return std::nullopt;
 }
