--- /dev/null
+++ b/Libraries/Usage/usage_copies.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Libraries/Core/core.h"
+#include "Libraries/Usage/usage_row.h"
+
+namespace dogwood {
+
+using LiveIncarnations = std::set<std::pair<HostId, Incarnation>>;
+
+// Newest totals of other hosts' incarnations, kept in memory for the case that
+// one vanishes before it wrote them.
+class UsageCopies {
+ public:
+  explicit UsageCopies(HostId host) : host_(std::move(host)) {}
+
+  // Newest wins per party and service: amounts only rise.
+  void Merge(const UsageRow& row);
+  std::size_t size() const { return copies_.size(); }
+
+  // Keys of copies whose incarnation is not alive.
+  std::vector<std::string> Vanished(const LiveIncarnations& live) const;
+  // The final write for a vanished incarnation on top of the store's row;
+  // nothing when the row already holds all of the copy. The reservation is
+  // final only if the store's row names this host as one of its peers, since
+  // only those hold every extension; otherwise totals alone are raised.
+  std::optional<TableCommit> AdoptCommit(const std::string& key,
+                                         const TableRow& current,
+                                         WallTime wall) const;
+  void Forget(const std::string& key) { copies_.erase(key); }
+
+ private:
+  HostId host_;
+  std::map<std::string, UsageRow> copies_;  // by row key
+};
+
+}  // namespace dogwood
--- /dev/null
+++ b/Libraries/Usage/usage_row.cc
@@ -0,0 +1,135 @@
+#include "Libraries/Usage/usage_row.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace dogwood {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint32_t kMonthsPerYear = 12;
+
+}  // namespace
+
+Month MonthOf(WallTime time) {
+  const std::chrono::year_month_day date(
+      std::chrono::floor<std::chrono::days>(time));
+  return Month(static_cast<std::uint32_t>(static_cast<int>(date.year())) *
+                   kMonthsPerYear +
+               static_cast<unsigned>(date.month()) - 1);
+}
+
+WallTime StartOf(Month month) {
+  const std::chrono::year_month_day date(
+      std::chrono::year(static_cast<int>(month.value() / kMonthsPerYear)),
+      std::chrono::month(month.value() % kMonthsPerYear + 1),
+      std::chrono::day(1));
+  return WallTime(std::chrono::sys_days(date));
+}
+
+std::string MonthName(Month month) {
+  return fmt::format("{:04}-{:02}", month.value() / kMonthsPerYear,
+                     month.value() % kMonthsPerYear + 1);
+}
+
+std::optional<Month> ParseMonth(std::string_view name) {
+  std::uint32_t year = 0;
+  std::uint32_t month = 0;
+  if (name.size() != 7 || name[4] != '-') return std::nullopt;
+  const char* text = name.data();
+  if (std::from_chars(text, text + 4, year).ptr != text + 4 ||
+      std::from_chars(text + 5, text + 7, month).ptr != text + 7)
+    return std::nullopt;
+  if (month < 1 || month > kMonthsPerYear) return std::nullopt;
+  return Month(year * kMonthsPerYear + month - 1);
+}
+
+std::string UsageRowPrefix(Month month) {
+  return "usage/" + MonthName(month) + "/";
+}
+
+std::string UsageRow::key() const {
+  return fmt::format("{}{}/{}", UsageRowPrefix(month), host.value(),
+                     incarnation.value());
+}
+
+std::string UsageRow::Encode() const {
+  Json list = Json::array();
+  for (const auto& [key, amount] : use)
+    list.push_back({key.party.value(), key.service.value(), amount.total,
+                    amount.reserved});
+  Json peer_list = Json::array();
+  for (const HostId& peer : peers) peer_list.push_back(peer.value());
+  return Json{{"month", MonthName(month)},
+              {"host", host.value()},
+              {"incarnation", incarnation.value()},
+              {"state", kUsageRowStateNames.NameOf(state)},
+              {"sequence", sequence},
+              {"block", block},
+              {"peers", std::move(peer_list)},
+              {"writer", writer.value()},
+              {"wall", wall.time_since_epoch().count()},
+              {"use", std::move(list)}}
+      .dump();
+}
+
+Result<UsageRow> UsageRow::Parse(std::string_view json) {
+  try {
+    const Json value = Json::parse(json);
+    UsageRow row;
+    const auto month = ParseMonth(value.at("month").get<std::string>());
+    const auto state =
+        kUsageRowStateNames.ValueOf(value.at("state").get<std::string>());
+    if (!month || !state)
+      return Fail(ErrorCode::kProtocol,
+                  "usage row with unknown month or state");
+    row.month = *month;
+    row.state = *state;
+    row.host = HostId(value.at("host").get<std::string>());
+    row.incarnation = Incarnation(value.at("incarnation").get<std::uint64_t>());
+    row.sequence = value.at("sequence").get<std::uint64_t>();
+    row.block = value.at("block").get<std::uint64_t>();
+    row.writer = HostId(value.at("writer").get<std::string>());
+    row.wall = WallTime(
+        std::chrono::microseconds(value.at("wall").get<std::int64_t>()));
+    for (const Json& peer : value.at("peers"))
+      row.peers.emplace_back(peer.get<std::string>());
+    for (const Json& entry : value.at("use")) {
+      const UsageAmount amount{entry.at(2).get<std::uint64_t>(),
+                               entry.at(3).get<std::uint64_t>()};
+      row.use[{PartyId(entry.at(0).get<std::string>()),
+               ServiceId(entry.at(1).get<std::string>())}] = amount;
+    }
+    return row;
+  } catch (const Json::exception& error) {
+    return Fail(ErrorCode::kProtocol, error.what());
+  }
+}
+
+void UsageRow::Merge(const UsageRow& other) {
+  VERIFY(key() == other.key());
+  if (state == UsageRowState::kClosed) return;
+  if (other.state == UsageRowState::kClosed) {
+    *this = other;
+    return;
+  }
+  if (other.sequence > sequence) {
+    sequence = other.sequence;
+    peers = other.peers;
+    state = other.state;
+    writer = other.writer;
+    wall = other.wall;
+  }
+  block = std::max(block, other.block);
+  for (const auto& [key, amount] : other.use) {
+    UsageAmount& own = use[key];
+    own.total = std::max(own.total, amount.total);
+    own.reserved = std::max(own.reserved, amount.reserved);
+  }
+}
+
+}  // namespace dogwood
