--- a/Libraries/Usage/usage_copies.cc
+++ b/Libraries/Usage/usage_copies.cc
@@ -23,7 +23,7 @@
                                                     WallTime wall) const {
   UsageRow row = copies_.at(key);
   // Without a readable row, nobody knows which peers hold its extensions.
-  std::vector<HostId> peers = row.peers;
+  std::vector<HostIncarnation> peers = row.peers;
   UsageRowState state = UsageRowState::kRunning;
   std::uint64_t sequence = row.sequence;
   std::map<UsageKey, UsageAmount> before;
@@ -38,7 +38,7 @@
     row.Merge(stored.value());
   }
   const bool is_peer =
-      std::find(peers.begin(), peers.end(), host_) != peers.end();
+      std::find(peers.begin(), peers.end(), own_) != peers.end();
   if (is_peer) state = UsageRowState::kAdopted;
   if (current.version > 0 && row.use == before &&
       UsageRow::Parse(current.value).value().state == state)
@@ -46,7 +46,7 @@
   if (row.state != UsageRowState::kClosed) row.state = state;
   row.peers = std::move(peers);
   row.sequence = sequence;
-  row.writer = host_;
+  row.writer = own_.host;
   row.wall = wall;
   return TableCommit{{{key, current.version}}, {{key, row.Encode()}}, {}};
 }
--- a/Libraries/Usage/usage_copies.h
+++ b/Libraries/Usage/usage_copies.h
@@ -12,13 +12,13 @@
 
 namespace dogwood {
 
-using LiveIncarnations = std::set<std::pair<HostId, Incarnation>>;
+using LiveIncarnations = std::set<HostIncarnation>;
 
 // Newest totals of other hosts' incarnations, kept in memory for the case that
 // one vanishes before it wrote them.
 class UsageCopies {
  public:
-  explicit UsageCopies(HostId host) : host_(std::move(host)) {}
+  explicit UsageCopies(HostIncarnation own) : own_(std::move(own)) {}
 
   // Newest wins per party and service: amounts only rise.
   void Merge(const UsageRow& row);
@@ -36,7 +36,7 @@
   void Forget(const std::string& key) { copies_.erase(key); }
 
  private:
-  HostId host_;
+  HostIncarnation own_;
   std::map<std::string, UsageRow> copies_;  // by row key
 };
 
--- a/Libraries/Usage/usage_ledger.cc
+++ b/Libraries/Usage/usage_ledger.cc
@@ -84,7 +84,8 @@
   if (found == months_.end()) return false;
   const MonthState& state = found->second;
   if (!state.written) return true;
-  if (is_closed_ && state.written->state != UsageRowState::kClosed) return true;
+  if (state.is_closed && state.written->state != UsageRowState::kClosed)
+    return true;
   return std::any_of(state.cells.begin(), state.cells.end(),
                      [](const auto& entry) {
                        const Cell& cell = *entry.second;
@@ -92,7 +93,8 @@
                      });
 }
 
-UsageRow UsageLedger::Snapshot(Month month, const std::vector<HostId>& peers,
+UsageRow UsageLedger::Snapshot(Month month,
+                               const std::vector<HostIncarnation>& peers,
                                WallTime wall) {
   const std::lock_guard lock(table_mutex_);
   MonthState& state = months_[month];
@@ -103,7 +105,7 @@
   row.writer = host_;
   row.sequence = ++sequence_;
   row.wall = wall;
-  if (is_closed_) {
+  if (state.is_closed) {
     row.state = UsageRowState::kClosed;
   } else {
     row.block = options_.block;
@@ -116,7 +118,7 @@
         options_.block, options_.growth_factor * (total - cell->previous));
     if (used + step / 2 > cell->planned) cell->planned = used + step;
     cell->previous = total;
-    row.use[key] = {total, is_closed_ ? total : cell->planned};
+    row.use[key] = {total, state.is_closed ? total : cell->planned};
   }
   return row;
 }
@@ -124,6 +126,7 @@
 void UsageLedger::Confirm(const UsageRow& row) {
   const std::lock_guard lock(table_mutex_);
   MonthState& state = months_[row.month];
+  if (state.is_closed) return;
   state.block = std::max(state.block, row.block);
   for (auto& [key, cell] : state.cells) {
     const auto listed = row.use.find(key);
@@ -135,24 +138,22 @@
   }
 }
 
-std::vector<HostId> UsageLedger::ExtensionPeers(Month month) const {
+std::vector<HostIncarnation> UsageLedger::ExtensionPeers(Month month) const {
   const std::lock_guard lock(table_mutex_);
-  std::vector<HostId> peers;
   const auto found = months_.find(month);
-  if (found == months_.end()) return peers;
-  const auto add = [&peers](const UsageRow& row) {
-    for (const HostId& peer : row.peers) {
-      if (std::find(peers.begin(), peers.end(), peer) == peers.end())
-        peers.push_back(peer);
-    }
-  };
-  if (found->second.written) add(*found->second.written);
-  for (const UsageRow& row : found->second.in_doubt) add(row);
-  return peers;
+  if (found == months_.end() || !found->second.written) return {};
+  const std::vector<HostIncarnation>& named = found->second.written->peers;
+  if (named.empty()) return {};
+  std::set<HostIncarnation> peers(named.begin(), named.end());
+  for (const auto& doubtful : found->second.in_doubt) {
+    if (doubtful.empty()) return {};
+    peers.insert(doubtful.begin(), doubtful.end());
+  }
+  return {peers.begin(), peers.end()};
 }
 
 TableCommit UsageLedger::StartWrite(Month month,
-                                    const std::vector<HostId>& peers,
+                                    const std::vector<HostIncarnation>& peers,
                                     WallTime wall) {
   UsageRow row = Snapshot(month, peers, wall);
   const std::lock_guard lock(table_mutex_);
@@ -198,15 +199,22 @@
         }
       }
     } else if (std::holds_alternative<CommitUnknown>(result)) {
-      state.in_doubt.push_back(sent);
+      state.in_doubt.insert(sent.peers);
     }
   }
   if (in_force) Confirm(*in_force);
 }
 
-void UsageLedger::Close() {
+void UsageLedger::CloseMonth(Month month) {
   const std::lock_guard lock(table_mutex_);
-  is_closed_ = true;
+  MonthState& state = months_[month];
+  state.is_closed = true;
+  state.block = 0;
+  for (auto& [key, cell] : state.cells) cell->bound = 0;
+}
+
+void UsageLedger::Close() {
+  for (const Month month : open_months()) CloseMonth(month);
 }
 
 bool UsageLedger::is_written() const {
--- a/Libraries/Usage/usage_ledger.h
+++ b/Libraries/Usage/usage_ledger.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -49,20 +50,25 @@
   bool NeedsWrite(Month month) const;
 
   // Current totals, with reservations raised where they are half used.
-  UsageRow Snapshot(Month month, const std::vector<HostId>& peers,
+  UsageRow Snapshot(Month month, const std::vector<HostIncarnation>& peers,
                     WallTime wall);
   // Puts the reservations of a row in force: it is in the store, or held by
   // every peer that the store's row or a write in doubt names.
   void Confirm(const UsageRow& row);
-  // Peers whose confirmation an extension needs while the store is down.
-  std::vector<HostId> ExtensionPeers(Month month) const;
+  // Peers whose confirmation an extension needs while the store is down: all
+  // that any row the store may hold names. None when a row that it may hold
+  // names no peer, as readers then take that row's reservations as final.
+  std::vector<HostIncarnation> ExtensionPeers(Month month) const;
 
   // One write is under way per month. The check of the row's version keeps a
   // late write from replacing a newer one.
-  TableCommit StartWrite(Month month, const std::vector<HostId>& peers,
+  TableCommit StartWrite(Month month, const std::vector<HostIncarnation>& peers,
                          WallTime wall);
   void FinishWrite(Month month, const CommitResult& result);
-  // Planned stop: no request is in work any more; the next write is final.
+  // No request of the month is in work any more: admits none, and writes exact
+  // totals from now on. A later Record shows as a correction.
+  void CloseMonth(Month month);
+  // Planned stop: closes all months.
   void Close();
   // All totals are in the store, as closed rows after Close.
   bool is_written() const;
@@ -97,9 +103,11 @@
   struct MonthState {
     std::uint64_t version = 0;        // of the row in the store
     std::optional<UsageRow> written;  // as last confirmed by the store
-    std::vector<UsageRow> in_doubt;   // writes whose answer was lost
+    // Peers named by writes whose answer was lost.
+    std::set<std::vector<HostIncarnation>> in_doubt;
     std::optional<UsageRow> sent;
     std::uint64_t block = 0;  // in force for cells to come
+    bool is_closed = false;
     std::map<UsageKey, Cell*> cells;
   };
 
@@ -116,7 +124,6 @@
   std::deque<Cell> cells_;
   std::map<Month, MonthState> months_;
   std::uint64_t sequence_ = 0;
-  bool is_closed_ = false;
 };
 
 }  // namespace dogwood
--- a/Libraries/Usage/usage_row.cc
+++ b/Libraries/Usage/usage_row.cc
@@ -63,7 +63,8 @@
     list.push_back({key.party.value(), key.service.value(), amount.total,
                     amount.reserved});
   Json peer_list = Json::array();
-  for (const HostId& peer : peers) peer_list.push_back(peer.value());
+  for (const HostIncarnation& peer : peers)
+    peer_list.push_back({peer.host.value(), peer.incarnation.value()});
   return Json{{"month", MonthName(month)},
               {"host", host.value()},
               {"incarnation", incarnation.value()},
@@ -97,7 +98,8 @@
     row.wall = WallTime(
         std::chrono::microseconds(value.at("wall").get<std::int64_t>()));
     for (const Json& peer : value.at("peers"))
-      row.peers.emplace_back(peer.get<std::string>());
+      row.peers.push_back({HostId(peer.at(0).get<std::string>()),
+                           Incarnation(peer.at(1).get<std::uint64_t>())});
     for (const Json& entry : value.at("use")) {
       const UsageAmount amount{entry.at(2).get<std::uint64_t>(),
                                entry.at(3).get<std::uint64_t>()};
@@ -112,11 +114,8 @@
 
 void UsageRow::Merge(const UsageRow& other) {
   VERIFY(key() == other.key());
-  if (state == UsageRowState::kClosed) return;
-  if (other.state == UsageRowState::kClosed) {
-    *this = other;
-    return;
-  }
+  const bool is_closed =
+      state == UsageRowState::kClosed || other.state == UsageRowState::kClosed;
   if (other.sequence > sequence) {
     sequence = other.sequence;
     peers = other.peers;
@@ -130,6 +129,10 @@
     own.total = std::max(own.total, amount.total);
     own.reserved = std::max(own.reserved, amount.reserved);
   }
+  if (!is_closed) return;
+  state = UsageRowState::kClosed;
+  block = 0;
+  for (auto& [key, amount] : use) amount.reserved = amount.total;
 }
 
 }  // namespace dogwood
--- a/Libraries/Usage/usage_row.h
+++ b/Libraries/Usage/usage_row.h
@@ -47,6 +47,16 @@
     {UsageRowState::kAdopted, "adopted"},
 }}};
 
+// One run of a host's process; a restart loses what the host held in memory.
+struct HostIncarnation {
+  HostId host;
+  Incarnation incarnation;
+  friend bool operator==(const HostIncarnation&,
+                         const HostIncarnation&) = default;
+  friend auto operator<=>(const HostIncarnation&,
+                          const HostIncarnation&) = default;
+};
+
 // Value of a row usage/MONTH/HOST/INCARNATION, and the body of a message to
 // peers, which may leave out keys that did not change.
 struct UsageRow {
@@ -58,7 +68,7 @@
   // Bound of every key that is not listed.
   std::uint64_t block = 0;
   // Peers that may hold a greater reservation than the store.
-  std::vector<HostId> peers;
+  std::vector<HostIncarnation> peers;
   HostId writer;
   WallTime wall;
   std::map<UsageKey, UsageAmount> use;
@@ -66,7 +76,7 @@
   std::string key() const;
   std::string Encode() const;
   static Result<UsageRow> Parse(std::string_view json);
-  // Takes the greater amounts of both, except that a closed row is final. The
+  // Takes the greater amounts of both; a closed row's totals are exact. The
   // order of merges does not matter.
   void Merge(const UsageRow& other);
 };
