--- a/Libraries/Usage/usage_ledger.cc
+++ b/Libraries/Usage/usage_ledger.cc
@@ -89,7 +89,21 @@
   return std::any_of(state.cells.begin(), state.cells.end(),
                      [](const auto& entry) {
                        const Cell& cell = *entry.second;
-                       return cell.total.load() != cell.written;
+                       return cell.total.load() != cell.written ||
+                              cell.bound.load() > cell.written_bound;
+                     });
+}
+
+bool UsageLedger::is_reservation_low(Month month) const {
+  const std::lock_guard lock(table_mutex_);
+  const auto found = months_.find(month);
+  if (found == months_.end() || found->second.is_closed) return false;
+  return std::any_of(found->second.cells.begin(), found->second.cells.end(),
+                     [this](const auto& entry) {
+                       const Cell& cell = *entry.second;
+                       const std::uint64_t used =
+                           std::max(cell.admitted.load(), cell.total.load());
+                       return used + options_.block / 4 > cell.bound.load();
                      });
 }
 
@@ -171,6 +185,8 @@
   for (auto& [key, cell] : state.cells) {
     const auto listed = row.use.find(key);
     if (listed != row.use.end()) cell->written = listed->second.total;
+    cell->written_bound =
+        listed != row.use.end() ? listed->second.reserved : row.block;
   }
 }
 
--- a/Libraries/Usage/usage_ledger.h
+++ b/Libraries/Usage/usage_ledger.h
@@ -46,8 +46,10 @@
   // has a reservation of `block`.
   void Open(Month month);
   std::vector<Month> open_months() const;
-  // Whether a reservation is more than half used or a total is not written yet.
+  // Whether the store lacks a total or a reservation in force.
   bool NeedsWrite(Month month) const;
+  // Whether less than a quarter block of some reservation in force is left.
+  bool is_reservation_low(Month month) const;
 
   // Current totals, with reservations raised where they are half used.
   UsageRow Snapshot(Month month, const std::vector<HostIncarnation>& peers,
@@ -81,9 +83,10 @@
     std::atomic<std::uint64_t> total{0};
     std::atomic<std::uint64_t> bound{0};  // in force
     // Control thread only.
-    std::uint64_t planned = 0;   // greatest reservation of any snapshot
-    std::uint64_t previous = 0;  // total of the snapshot before
-    std::uint64_t written = 0;   // total in the store
+    std::uint64_t planned = 0;        // greatest reservation of any snapshot
+    std::uint64_t previous = 0;       // total of the snapshot before
+    std::uint64_t written = 0;        // total in the store
+    std::uint64_t written_bound = 0;  // reservation in the store
   };
   struct CellKey {
     UsageKey key;
--- /dev/null
+++ b/Services/Entry/usage_service.cc
@@ -0,0 +1,447 @@
+#include "Services/Entry/usage_service.h"
+
+#include <openssl/evp.h>
+#include <spdlog/fmt/fmt.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+constexpr std::size_t kPeers = 2;
+constexpr std::size_t kScanLimit = 500;
+constexpr std::size_t kChecksPerCommit = 200;
+constexpr int kMaxReadAttempts = 20;  // of one group of rows
+constexpr Duration kWriteTurn = std::chrono::milliseconds(5);
+
+std::string ClosedKey(Month month) {
+  return "usage-closed/" + MonthName(month);
+}
+// Message bodies are built outside of coroutines: g++ 12 miscompiles braced
+// lists in expressions that wait.
+Json TotalsBody(const UsageRow& part, Incarnation to, bool is_stored) {
+  return {{"version", 1},
+          {"row", part.Encode()},
+          {"stored", is_stored},
+          {"to_incarnation", to.value()}};
+}
+Json WriteRequest() { return {{"version", 1}, {"write", true}}; }
+Json WriteReply(bool is_written, Incarnation incarnation) {
+  return {{"version", 1},
+          {"written", is_written},
+          {"incarnation", incarnation.value()}};
+}
+Json MergeReply(bool is_merged) {
+  return {{"version", 1}, {"merged", is_merged}};
+}
+TableCommit CloseCommit(Month month, const std::string& digest) {
+  TableCommit commit;
+  commit.checks.push_back({ClosedKey(month), 0});
+  commit.puts.push_back({ClosedKey(month), Json{{"sha256", digest}}.dump()});
+  return commit;
+}
+std::string SnapshotName(Month month) {
+  return "usage-" + MonthName(month) + ".json";
+}
+
+}  // namespace
+
+std::string Sha256Hex(std::string_view text) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned length = 0;
+  VERIFY(EVP_Digest(text.data(), text.size(), digest.data(), &length,
+                    EVP_sha256(), nullptr) == 1);
+  std::string hex;
+  for (unsigned i = 0; i < length; ++i) hex += fmt::format("{:02x}", digest[i]);
+  return hex;
+}
+
+UsageService::UsageService(asio::any_io_executor executor, ControlClock& clock,
+                           TableStore& store, PeerChannel& peers,
+                           EventLog& events, UsageLedger& ledger, HostId host,
+                           Incarnation incarnation, UsageServiceOptions options)
+    : executor_(std::move(executor)),
+      clock_(clock),
+      store_(store),
+      peers_(peers),
+      events_(events),
+      ledger_(ledger),
+      own_{std::move(host), incarnation},
+      options_(options),
+      copies_(own_) {}
+
+void UsageService::Start() {
+  peers_.Handle("usage-totals", [this](HostId, Json body) {
+    return HandleTotals(std::move(body));
+  });
+  asio::co_spawn(executor_, Loop(), asio::detached);
+}
+
+asio::awaitable<Result<void>> UsageService::Open(TimePoint deadline) {
+  const Month month = MonthOf(clock_.Wall());
+  ledger_.Open(month);
+  while (!co_await WriteMonth(month)) {
+    if (clock_.Now() >= deadline)
+      co_return Fail(ErrorCode::kUnavailable,
+                     "the first usage row is unwritten");
+    co_await clock_.Sleep(options_.tick);
+  }
+  co_return outcome::success();
+}
+
+asio::awaitable<void> UsageService::Loop() {
+  while (!is_stopping_) {
+    co_await OpenAndCloseMonths();
+    const bool is_due = clock_.Now() >= next_write_;
+    if (is_due) next_write_ = clock_.Now() + options_.write_interval;
+    for (const Month month : ledger_.open_months()) {
+      const bool is_low = ledger_.is_reservation_low(month);
+      if (!is_low && !(is_due && ledger_.NeedsWrite(month))) continue;
+      if (!co_await WriteMonth(month)) co_await Extend(month);
+    }
+    if (is_due) co_await Adopt();
+    co_await clock_.Sleep(options_.tick);
+  }
+}
+
+asio::awaitable<void> UsageService::OpenAndCloseMonths() {
+  const WallTime now = clock_.Wall();
+  const auto micros = [](Duration duration) {
+    return std::chrono::duration_cast<WallTime::duration>(duration);
+  };
+  ledger_.Open(MonthOf(now + micros(options_.open_ahead)));
+  for (const Month month : ledger_.open_months()) {
+    if (StartOf(Month(month.value() + 1)) + micros(options_.close_after) >= now)
+      continue;
+    ledger_.CloseMonth(month);
+    if (!ledger_.NeedsWrite(month)) {
+      ledger_.Forget(month);
+      std::erase_if(sent_, [month](const auto& entry) {
+        return entry.first.second == month;
+      });
+    }
+  }
+  co_return;
+}
+
+std::vector<HostIncarnation> UsageService::ChoosePeers() const {
+  std::vector<std::pair<std::uint64_t, HostIncarnation>> ranked;
+  for (const Member& member : peers_.members()) {
+    if (member.state == MemberState::kLeaving) continue;
+    const std::string pair = own_.host.value() + "/" + member.host.value();
+    ranked.push_back({XXH3_64bits(pair.data(), pair.size()),
+                      {member.host, member.incarnation}});
+  }
+  std::sort(ranked.begin(), ranked.end());
+  if (ranked.size() > kPeers) ranked.resize(kPeers);
+  std::vector<HostIncarnation> chosen;
+  for (const auto& [rank, peer] : ranked) chosen.push_back(peer);
+  return chosen;
+}
+
+asio::awaitable<bool> UsageService::WriteMonth(Month month) {
+  while (is_writing_) co_await clock_.Sleep(kWriteTurn);
+  is_writing_ = true;
+  const std::vector<HostIncarnation> chosen = ChoosePeers();
+  const TableCommit commit = ledger_.StartWrite(month, chosen, clock_.Wall());
+  const CommitResult result =
+      co_await store_.Commit(commit, options_.store_timeout);
+  ledger_.FinishWrite(month, result);
+  is_writing_ = false;
+  const bool is_written = std::holds_alternative<Committed>(result);
+  const bool is_failing = std::holds_alternative<CommitUnavailable>(result) ||
+                          std::holds_alternative<CommitUnknown>(result);
+  if (is_failing && !is_store_failing_)
+    events_.Record(EventId::kUsageWriteFailed);
+  is_store_failing_ = is_failing;
+  if (is_written) {
+    const auto row = UsageRow::Parse(commit.puts.front().value);
+    for (const HostIncarnation& peer : chosen)
+      co_await Send(peer, row.value(), Amount::kOneMessage, Origin::kStored);
+  }
+  co_return is_written;
+}
+
+asio::awaitable<void> UsageService::Extend(Month month) {
+  const std::vector<HostIncarnation> named = ledger_.ExtensionPeers(month);
+  if (named.empty()) co_return;
+  const UsageRow row = ledger_.Snapshot(month, named, clock_.Wall());
+  for (const HostIncarnation& peer : named) {
+    if (!co_await Send(peer, row, Amount::kEverything, Origin::kExtension))
+      co_return;
+  }
+  ledger_.Confirm(row);
+  events_.Record(EventId::kUsageReservationExtended);
+}
+
+asio::awaitable<bool> UsageService::Send(HostIncarnation peer, UsageRow row,
+                                         Amount amount, Origin origin) {
+  // A restarted peer lost its copies, so only the named incarnation counts.
+  const std::vector<Member> members = peers_.members();
+  if (std::none_of(members.begin(), members.end(), [&](const Member& member) {
+        return member.host == peer.host &&
+               member.incarnation == peer.incarnation;
+      }))
+    co_return false;
+  std::erase_if(sent_, [&members](const auto& entry) {
+    return std::none_of(
+        members.begin(), members.end(), [&entry](const Member& member) {
+          return member.host == entry.first.first.host &&
+                 member.incarnation == entry.first.first.incarnation;
+        });
+  });
+  const std::pair<HostIncarnation, Month> slot(peer, row.month);
+  while (true) {
+    PeerState& state = sent_[slot];
+    UsageRow part = row;
+    part.use.clear();
+    std::size_t unsent = 0;
+    auto next = row.use.upper_bound(state.cursor);
+    for (std::size_t i = 0; i < row.use.size(); ++i, ++next) {
+      if (next == row.use.end()) next = row.use.begin();
+      const auto held = state.held.find(next->first);
+      if (held != state.held.end() && held->second == next->second) continue;
+      if (part.use.size() < options_.keys_per_message) {
+        part.use.insert(*next);
+        state.cursor = next->first;
+      } else {
+        ++unsent;
+      }
+    }
+    // Only the last part may say that the totals are exact.
+    if (unsent > 0) part.state = UsageRowState::kRunning;
+    const Result<Json> reply = co_await peers_.Call(
+        peer.host, "usage-totals",
+        TotalsBody(part, peer.incarnation, origin == Origin::kStored),
+        options_.peer_timeout);
+    if (!reply || !reply.value().value("merged", false)) co_return false;
+    PeerState& after = sent_[slot];
+    for (const auto& [key, value] : part.use) after.held[key] = value;
+    if (unsent == 0) co_return true;
+    if (amount == Amount::kOneMessage) co_return false;
+  }
+}
+
+asio::awaitable<Result<Json>> UsageService::HandleTotals(Json body) {
+  try {
+    if (body.value("write", false)) {
+      const bool is_written = co_await WriteAll();
+      co_return WriteReply(is_written, own_.incarnation);
+    }
+    if (body.at("to_incarnation").get<std::uint64_t>() !=
+        own_.incarnation.value())
+      co_return MergeReply(false);
+    const auto row = UsageRow::Parse(body.at("row").get<std::string>());
+    if (!row) {
+      events_.Record(EventId::kUsageRowInvalid,
+                     {{"error", row.error().message}});
+      co_return row.error();
+    }
+    const std::string key = row.value().key();
+    if (body.value("stored", false)) {
+      adopted_.erase(key);
+    } else if (adopted_.contains(key) &&
+               row.value().state != UsageRowState::kClosed) {
+      co_return MergeReply(false);
+    }
+    copies_.Merge(row.value());
+    co_return MergeReply(true);
+  } catch (const Json::exception& error) {
+    co_return Fail(ErrorCode::kProtocol, error.what());
+  }
+}
+
+asio::awaitable<void> UsageService::Adopt() {
+  LiveIncarnations live{own_};
+  for (const Member& member : peers_.members())
+    live.insert({member.host, member.incarnation});
+  const std::vector<std::string> vanished = copies_.Vanished(live);
+  std::erase_if(vanished_since_, [&vanished](const auto& entry) {
+    return std::find(vanished.begin(), vanished.end(), entry.first) ==
+           vanished.end();
+  });
+  std::size_t left = options_.adoptions_per_interval;
+  for (const std::string& key : vanished) {
+    const TimePoint since =
+        vanished_since_.try_emplace(key, clock_.Now()).first->second;
+    if (clock_.Now() < since + options_.adopt_delay || left == 0) continue;
+    --left;
+    const Result<TableRow> row =
+        co_await store_.Read(key, options_.store_timeout);
+    if (!row) co_return;
+    const auto commit = copies_.AdoptCommit(key, row.value(), clock_.Wall());
+    if (!commit) {
+      copies_.Forget(key);
+      continue;
+    }
+    adopted_.insert(key);
+    const CommitResult result =
+        co_await store_.Commit(*commit, options_.store_timeout);
+    if (std::holds_alternative<Committed>(result))
+      events_.Record(EventId::kUsageAdopted, {{"row", key}});
+  }
+}
+
+asio::awaitable<bool> UsageService::WriteAll() {
+  bool is_all_written = true;
+  for (const Month month : ledger_.open_months()) {
+    if (ledger_.NeedsWrite(month) && !co_await WriteMonth(month) &&
+        !co_await WriteMonth(month))
+      is_all_written = false;
+  }
+  co_return is_all_written;
+}
+
+asio::awaitable<Result<void>> UsageService::Flush(TimePoint deadline) {
+  is_stopping_ = true;
+  ledger_.Close();
+  while (true) {
+    if (co_await WriteAll() && ledger_.is_written())
+      co_return outcome::success();
+    if (clock_.Now() >= deadline) break;
+    co_await clock_.Sleep(options_.tick);
+  }
+  bool is_held = true;
+  for (const Month month : ledger_.open_months()) {
+    const std::vector<HostIncarnation> named = ledger_.ExtensionPeers(month);
+    const UsageRow row = ledger_.Snapshot(month, named, clock_.Wall());
+    if (named.empty()) is_held = false;
+    for (const HostIncarnation& peer : named)
+      is_held =
+          co_await Send(peer, row, Amount::kEverything, Origin::kExtension) &&
+          is_held;
+  }
+  if (is_held) co_return outcome::success();
+  co_return Fail(ErrorCode::kUnavailable,
+                 "neither store nor peers hold the final totals");
+}
+
+asio::awaitable<Result<std::vector<TableRow>>> UsageService::ReadRows(
+    Month month, LiveIncarnations confirmed) {
+  std::map<std::string, TableRow> rows;
+  // A scan from the past may lack the newest rows.
+  for (const HostIncarnation& writer : confirmed) {
+    UsageRow row;
+    row.month = month;
+    row.host = writer.host;
+    row.incarnation = writer.incarnation;
+    rows[row.key()].key = row.key();
+  }
+  std::string after;
+  for (bool is_last = false; !is_last;) {
+    CO_TRY_ASSIGN(const std::vector<TableRow> page,
+                  co_await store_.Scan(UsageRowPrefix(month), after, kScanLimit,
+                                       options_.store_timeout));
+    is_last = page.size() < kScanLimit;
+    if (!page.empty()) after = page.back().key;
+    for (const TableRow& row : page) rows[row.key] = row;
+  }
+  // A check-only commit returns the current value of every outdated row.
+  int attempts = 0;
+  for (auto next = rows.begin(); next != rows.end();) {
+    if (++attempts > kMaxReadAttempts)
+      co_return Fail(ErrorCode::kUnavailable, "usage rows change too fast");
+    TableCommit check;
+    auto end = next;
+    for (; end != rows.end() && check.checks.size() < kChecksPerCommit; ++end)
+      check.checks.push_back({end->first, end->second.version});
+    const CommitResult result =
+        co_await store_.Commit(std::move(check), options_.store_timeout);
+    if (std::holds_alternative<Committed>(result)) {
+      next = end;
+      attempts = 0;
+    }
+    if (std::holds_alternative<CommitUnavailable>(result))
+      co_return Fail(ErrorCode::kUnavailable, "usage rows are not readable");
+    if (const auto* conflict = std::get_if<CommitConflict>(&result)) {
+      for (const TableRow& row : conflict->current) rows[row.key] = row;
+    }
+  }
+  std::vector<TableRow> present;
+  for (auto& [key, row] : rows) {
+    if (row.version > 0) present.push_back(std::move(row));
+  }
+  co_return present;
+}
+
+asio::awaitable<LiveIncarnations> UsageService::AskAllToWrite() {
+  LiveIncarnations confirmed;
+  if (co_await WriteAll()) confirmed.insert(own_);
+  for (const Member& member : peers_.members()) {
+    const Result<Json> reply =
+        co_await peers_.Call(member.host, "usage-totals", WriteRequest(),
+                             options_.store_timeout * 3);
+    if (!reply || !reply.value().value("written", false)) continue;
+    confirmed.insert({member.host, Incarnation(reply.value().value(
+                                       "incarnation", std::uint64_t{0}))});
+  }
+  co_return confirmed;
+}
+
+asio::awaitable<Result<UsageReport>> UsageService::Report(
+    Month month, UsageReport::Agreements agreements) {
+  const LiveIncarnations confirmed = co_await AskAllToWrite();
+  CO_TRY_ASSIGN(const std::vector<TableRow> rows,
+                co_await ReadRows(month, confirmed));
+  co_return UsageReport::Build(month, rows, agreements, confirmed);
+}
+
+asio::awaitable<Result<UsageReport>> UsageService::CloseMonth(
+    Month month, UsageReport::Agreements agreements, SnapshotStore& snapshots) {
+  CO_TRY_ASSIGN(const TableRow closed,
+                co_await store_.Read(ClosedKey(month), options_.store_timeout));
+  if (closed.version > 0) co_return co_await Verify(month, snapshots);
+  if (StartOf(Month(month.value() + 1)) > clock_.Wall())
+    co_return Fail(ErrorCode::kInvalidArgument,
+                   MonthName(month) + " is not over");
+  CO_TRY_ASSIGN(const UsageReport report,
+                co_await Report(month, std::move(agreements)));
+  const std::string text = report.SnapshotText();
+  const std::string digest = Sha256Hex(text);
+  // The digest is part of the name, so that a concurrent close that loses does
+  // not replace the snapshot of the one that wins.
+  CO_TRY(co_await snapshots.Put(digest + "-" + SnapshotName(month), text));
+  const CommitResult result = co_await store_.Commit(CloseCommit(month, digest),
+                                                     options_.store_timeout);
+  if (std::holds_alternative<CommitConflict>(result))
+    co_return co_await Verify(month, snapshots);
+  if (std::holds_alternative<CommitUnavailable>(result))
+    co_return Fail(ErrorCode::kUnavailable, "the month is not closed");
+  if (std::holds_alternative<CommitUnknown>(result))
+    co_return Fail(ErrorCode::kOutcomeUnknown, "close the month again");
+  events_.Record(EventId::kUsageMonthClosed,
+                 {{"month", MonthName(month)}, {"sha256", digest}});
+  co_return report;
+}
+
+asio::awaitable<Result<UsageReport>> UsageService::Verify(
+    Month month, SnapshotStore& snapshots) {
+  CO_TRY_ASSIGN(const TableRow closed,
+                co_await store_.Read(ClosedKey(month), options_.store_timeout));
+  if (closed.version == 0)
+    co_return Fail(ErrorCode::kNotFound, MonthName(month) + " is not closed");
+  const Json value = Json::parse(closed.value, nullptr, false);
+  if (!value.is_object() || !value.contains("sha256"))
+    co_return Fail(ErrorCode::kProtocol, closed.key + " holds no digest");
+  const std::string recorded = value.value("sha256", "");
+  CO_TRY_ASSIGN(const std::string text,
+                co_await snapshots.Read(recorded + "-" + SnapshotName(month)));
+  co_return UsageReport::VerifySnapshot(text, Sha256Hex(text), recorded);
+}
+
+asio::awaitable<Result<std::vector<UsageLine>>> UsageService::Corrections(
+    Month month, UsageReport::Agreements agreements, SnapshotStore& snapshots) {
+  CO_TRY_ASSIGN(const UsageReport closed, co_await Verify(month, snapshots));
+  CO_TRY_ASSIGN(const UsageReport now,
+                co_await Report(month, std::move(agreements)));
+  co_return closed.Corrections(now);
+}
+
+}  // namespace dogwood
