--- a/Services/Entry/backend_pool.cc
+++ b/Services/Entry/backend_pool.cc
@@ -167,8 +167,8 @@
   const std::lock_guard lock(mutex_);
   for (auto& [key, server] : servers_) {
     auto& idle = server->idle[worker];
-    const auto fresh = std::find_if(
-        idle.begin(), idle.end(), [&](const auto& connection) {
+    const auto fresh =
+        std::find_if(idle.begin(), idle.end(), [&](const auto& connection) {
           return connection->idle_since >= limit && connection->is_reusable();
         });
     std::move(idle.begin(), fresh, std::back_inserter(discarded));
@@ -186,8 +186,7 @@
   state_->is_cancelled = true;
   // Posted, because the resumed request may end the caller of Cancel.
   if (state_->executor) {
-    asio::post(state_->executor,
-               [state = state_] { state->signal.Notify(); });
+    asio::post(state_->executor, [state = state_] { state->signal.Notify(); });
   }
 }
 
--- a/Services/Entry/baseline_dispatcher.cc
+++ b/Services/Entry/baseline_dispatcher.cc
@@ -40,8 +40,8 @@
       if (!endpoint) {
         return Fail(ErrorCode::kInvalidArgument,
                     "services." + service_id.value() + ".servers." +
-                        server_id.value() + ".address: " +
-                        endpoint.error().message);
+                        server_id.value() +
+                        ".address: " + endpoint.error().message);
       }
       const auto zone = fleet.zones.find(server.zone);
       const bool is_zone_out = zone != fleet.zones.end() &&
@@ -93,9 +93,9 @@
   }
   if (picked->id != excluded || servers.size() == 1) return picked;
   // The next server in order stands in for the excluded one.
-  const auto place = std::find_if(
-      servers.begin(), servers.end(),
-      [&](const auto& server) { return server.get() == picked; });
+  const auto place =
+      std::find_if(servers.begin(), servers.end(),
+                   [&](const auto& server) { return server.get() == picked; });
   const auto position = static_cast<std::size_t>(place - servers.begin());
   return servers[(position + 1) % servers.size()].get();
 }
--- a/Services/Entry/body_reader.h
+++ b/Services/Entry/body_reader.h
@@ -14,8 +14,9 @@
 
 template <typename Source>
 concept ByteSource = requires(Source source) {
-  { source.Fill() } -> std::same_as<
-      boost::asio::awaitable<boost::system::error_code>>;
+  {
+    source.Fill()
+    } -> std::same_as<boost::asio::awaitable<boost::system::error_code>>;
   { source.input() } -> std::same_as<ByteBuffer&>;
 };
 
@@ -75,8 +76,7 @@
 
   // Whether bytes follow the end of the message.
   bool has_surplus() const {
-    return parser_.is_complete() &&
-           source_.input().data().size() > consumed_;
+    return parser_.is_complete() && source_.input().data().size() > consumed_;
   }
 
   // Gives up the bytes of the last piece.
--- a/Services/Entry/command_line.cc
+++ b/Services/Entry/command_line.cc
@@ -35,9 +35,9 @@
         line.action = Action::kShowVersion;
         return line;
       case ':':
-        return Fail(ErrorCode::kInvalidArgument,
-                    std::string("option needs a value: ") +
-                        arguments[optind - 1]);
+        return Fail(
+            ErrorCode::kInvalidArgument,
+            std::string("option needs a value: ") + arguments[optind - 1]);
       default:
         return Fail(ErrorCode::kInvalidArgument,
                     std::string("unknown option: ") + arguments[optind - 1]);
--- a/Services/Entry/entry_host.cc
+++ b/Services/Entry/entry_host.cc
@@ -233,12 +233,12 @@
 }
 
 void EntryHost::AddOwnRoutes() {
-  operators_.Route("GET", "/metrics",
-                   [this](const HttpRequest& /*request*/)
-                       -> asio::awaitable<HttpResponse> {
-                     co_return TextResponse("text/plain; version=0.0.4",
-                                            parts_.metrics.ExpositionText());
-                   });
+  operators_.Route(
+      "GET", "/metrics",
+      [this](const HttpRequest& /*request*/) -> asio::awaitable<HttpResponse> {
+        co_return TextResponse("text/plain; version=0.0.4",
+                               parts_.metrics.ExpositionText());
+      });
   operators_.Route(
       "GET", "/v1/status",
       [this](const HttpRequest& /*request*/) -> asio::awaitable<HttpResponse> {
--- a/Services/Entry/entry_settings.cc
+++ b/Services/Entry/entry_settings.cc
@@ -94,8 +94,7 @@
 
 Result<EntrySettings> EntrySettings::Parse(std::string_view json) {
   const Json root = Json::parse(json, nullptr, /*allow_exceptions=*/false);
-  if (!root.is_object())
-    return Invalid("settings", "expected a JSON object");
+  if (!root.is_object()) return Invalid("settings", "expected a JSON object");
   SettingsReader reader(root, "");
   EntrySettings settings;
   TRY_ASSIGN(std::string host, reader.Text("host", std::nullopt));
@@ -130,9 +129,9 @@
   TRY(log_reader.RefuseUnknown());
 
   TRY_ASSIGN(settings.fleet_file, reader.Text("fleet_file", ""));
-  TRY_ASSIGN(const std::uint64_t stop_seconds,
-             reader.Count("stop_deadline_seconds", 300, 1,
-                          kLongestStopSeconds));
+  TRY_ASSIGN(
+      const std::uint64_t stop_seconds,
+      reader.Count("stop_deadline_seconds", 300, 1, kLongestStopSeconds));
   settings.stop_deadline = std::chrono::seconds(stop_seconds);
   TRY_ASSIGN(const std::string policy,
              reader.Text("placement_policy", "two_choices"));
--- a/Services/Entry/head_writer.cc
+++ b/Services/Entry/head_writer.cc
@@ -66,8 +66,8 @@
 }
 
 void AppendStatusLine(std::string& out, unsigned status) {
-  const auto reason =
-      boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
+  const auto reason = boost::beast::http::obsolete_reason(
+      boost::beast::http::int_to_status(status));
   out.append("HTTP/1.1 ");
   out.append(std::to_string(status));
   out.push_back(' ');
@@ -136,9 +136,9 @@
   AppendField(out, "Dogwood-Reason", answer.reason);
   if (answer.retry_after > Duration::zero()) {
     // The field counts whole seconds.
-    AppendNumber(out, "Retry-After",
-                 static_cast<std::uint64_t>(
-                     ceil<seconds>(answer.retry_after).count()));
+    AppendNumber(
+        out, "Retry-After",
+        static_cast<std::uint64_t>(ceil<seconds>(answer.retry_after).count()));
   }
   if (answer.recorded_status != 0)
     AppendNumber(out, "Dogwood-Recorded-Status", answer.recorded_status);
--- a/Services/Entry/main.cc
+++ b/Services/Entry/main.cc
@@ -44,10 +44,9 @@
     return kExitFailure;
   }
   MetricsRegistry metrics;
-  EntryHost host(settings, std::move(fleet),
-                 {.dispatcher = dispatcher,
-                  .log = *log.value(),
-                  .metrics = metrics});
+  EntryHost host(
+      settings, std::move(fleet),
+      {.dispatcher = dispatcher, .log = *log.value(), .metrics = metrics});
   host.HandleSignals();
   const Result<void> started = host.Start();
   if (!started) {
--- a/Services/Entry/message_head.h
+++ b/Services/Entry/message_head.h
@@ -32,8 +32,8 @@
   Field field(std::size_t index) const;
   std::size_t size_bytes() const { return text_.size(); }
 
-  std::string method;  // requests
-  std::string target;  // requests
+  std::string method;   // requests
+  std::string target;   // requests
   unsigned status = 0;  // responses
   int version = 11;     // 10 or 11
 
--- a/Services/Entry/message_parser.cc
+++ b/Services/Entry/message_parser.cc
@@ -31,9 +31,8 @@
       error = http::error::bad_field;
     };
     // Beast joins a folded value in a buffer of its own.
-    if (!value.empty() &&
-        (value.data() < input.data() ||
-         value.data() >= input.data() + input.size())) {
+    if (!value.empty() && (value.data() < input.data() ||
+                           value.data() >= input.data() + input.size())) {
       return stop(FramingFault::kFoldedField);
     }
     if (EqualsIgnoringCase(name, "content-length") && ++length_fields > 1)
@@ -175,8 +174,8 @@
   Step step;
   implementation_->Visit([&](auto& parser) {
     beast::error_code error;
-    step.consumed =
-        parser.put(boost::asio::const_buffer(input.data(), input.size()), error);
+    step.consumed = parser.put(
+        boost::asio::const_buffer(input.data(), input.size()), error);
     if (error == http::error::need_more) {
       step.needs_more = true;
     } else if (error) {
--- a/Services/Entry/message_parser.h
+++ b/Services/Entry/message_parser.h
@@ -16,11 +16,11 @@
 
 // Why bytes are not a well-formed HTTP/1.1 message.
 enum class FramingFault {
-  kMalformed,            // start line, field or chunk breaks the grammar
-  kHeadTooLarge,         // over kHeadLimitBytes
-  kConflictingFraming,   // two lengths, or a length with chunked
-  kUnsupportedCoding,    // a transfer coding other than chunked
-  kFoldedField,          // a field continued on the next line
+  kMalformed,           // start line, field or chunk breaks the grammar
+  kHeadTooLarge,        // over kHeadLimitBytes
+  kConflictingFraming,  // two lengths, or a length with chunked
+  kUnsupportedCoding,   // a transfer coding other than chunked
+  kFoldedField,         // a field continued on the next line
 };
 
 std::string_view TextOf(FramingFault fault);
@@ -33,9 +33,9 @@
   static constexpr std::size_t kHeadLimitBytes = 16U * 1024U;
 
   struct Step {
-    std::size_t consumed = 0;   // bytes of the input that are done with
-    std::string_view body;      // body bytes within the consumed input
-    bool needs_more = false;    // no progress without further input
+    std::size_t consumed = 0;  // bytes of the input that are done with
+    std::string_view body;     // body bytes within the consumed input
+    bool needs_more = false;   // no progress without further input
     std::optional<FramingFault> fault;
   };
 
--- a/Services/Entry/operator_listener.cc
+++ b/Services/Entry/operator_listener.cc
@@ -29,8 +29,7 @@
 
 void OperatorListener::Route(std::string method, std::string path,
                              Handler handler) {
-  routes_.push_back(
-      {std::move(method), std::move(path), std::move(handler)});
+  routes_.push_back({std::move(method), std::move(path), std::move(handler)});
   // Longer paths are tried first.
   std::stable_sort(routes_.begin(), routes_.end(),
                    [](const RouteEntry& left, const RouteEntry& right) {
@@ -41,12 +40,13 @@
 Result<void> OperatorListener::Listen(
     const boost::asio::any_io_executor& executor,
     const boost::asio::ip::tcp::endpoint& endpoint) {
-  TRY_ASSIGN(auto server,
-             HttpServer::Listen(executor, endpoint, {},
-                                [this](HttpRequest request)
-                                    -> boost::asio::awaitable<HttpResponse> {
-                                  co_return co_await Respond(request);
-                                }));
+  TRY_ASSIGN(
+      auto server,
+      HttpServer::Listen(
+          executor, endpoint, {},
+          [this](HttpRequest request) -> boost::asio::awaitable<HttpResponse> {
+            co_return co_await Respond(request);
+          }));
   server_.emplace(std::move(server));
   return outcome::success();
 }
--- a/Services/Entry/operator_listener.h
+++ b/Services/Entry/operator_listener.h
@@ -32,7 +32,8 @@
   void Stop();
   boost::asio::ip::tcp::endpoint local_endpoint() const;
 
-  boost::asio::awaitable<HttpResponse> Respond(const HttpRequest& request) const;
+  boost::asio::awaitable<HttpResponse> Respond(
+      const HttpRequest& request) const;
 
  private:
   struct RouteEntry {
--- a/Services/Entry/relay_context.h
+++ b/Services/Entry/relay_context.h
@@ -22,8 +22,8 @@
   FleetView& fleet;
   EventLog& log;
   RequestMetrics& metrics;
-  ClaimService* claims = nullptr;   // null: keys are not checked
-  UsageRecorder* usage = nullptr;   // null: usage is not recorded
+  ClaimService* claims = nullptr;  // null: keys are not checked
+  UsageRecorder* usage = nullptr;  // null: usage is not recorded
   std::atomic<bool> is_leaving{false};
 };
 
--- a/Services/Entry/request_exchange.cc
+++ b/Services/Entry/request_exchange.cc
@@ -62,12 +62,15 @@
     co_return co_await Answer(
         AnswerOf({Refusal::Reason::kStopping, kRetryHint}));
   }
-  auto plan =
-      ReadPlan(parser_.head(), context_.fleet.Current(), id_, arrival);
+  auto plan = ReadPlan(parser_.head(), context_.fleet.Current(), id_, arrival);
   if (!plan) co_return co_await Answer(std::move(plan).error());
   plan_ = std::move(plan).value();
   // A caller that expects 100 Continue learns of a refusal before it sends.
-  if (!plan_.expects_continue && !co_await BufferBody()) {
+  // Conditions below hold no co_await: with several of them in conditions of
+  // one coroutine, g++ 12 addresses the coroutine frame wrongly.
+  bool is_buffered = true;
+  if (!plan_.expects_continue) is_buffered = co_await BufferBody();
+  if (!is_buffered) {
     if (cause_ == Cause::kCallerLeft) {
       context_.shared.metrics.cancelled.Add();
       co_return After::kClose;
@@ -77,8 +80,8 @@
   plan_.attributes.fingerprint =
       FingerprintOf(plan_.attributes, parser_.head(), memory_.body);
   if (parser_.is_complete()) WatchCaller();
-  if (auto answer = co_await Claim())
-    co_return co_await Answer(std::move(*answer));
+  std::optional<OwnAnswer> claim_answer = co_await Claim();
+  if (claim_answer) co_return co_await Answer(std::move(*claim_answer));
   const After after = co_await RunAttempts();
   co_return after;
 }
@@ -88,8 +91,7 @@
 asio::awaitable<bool> RequestExchange::BufferBody() {
   is_reading_body_ = true;
   CallerBody reader(caller_, parser_);
-  while (!parser_.is_complete() &&
-         memory_.body.size() < kReplayableBodyBytes) {
+  while (!parser_.is_complete() && memory_.body.size() < kReplayableBodyBytes) {
     const CallerBody::Piece piece = co_await reader.Next();
     for (std::size_t i = 0; i < piece.slice_count; ++i)
       memory_.body.append(piece.slices[i]);
@@ -122,12 +124,11 @@
       has_claim_ = true;
       co_return std::nullopt;
     case ClaimDecision::Kind::kCompleted:
-      co_return OwnAnswer{
-          .outcome = RequestOutcome::kAnswered,
-          .status = 409,
-          .reason = "already-answered",
-          .message = "a former send of this key was answered",
-          .recorded_status = decision.status};
+      co_return OwnAnswer{.outcome = RequestOutcome::kAnswered,
+                          .status = 409,
+                          .reason = "already-answered",
+                          .message = "a former send of this key was answered",
+                          .recorded_status = decision.status};
     case ClaimDecision::Kind::kOutcomeUnknown:
       co_return OwnAnswer{
           .outcome = RequestOutcome::kUnknown,
@@ -145,8 +146,7 @@
   RequestDispatcher& dispatcher = context_.shared.dispatcher;
   ServerId excluded;
   for (int attempt = 1;; ++attempt) {
-    const auto grant =
-        co_await dispatcher.Acquire(plan_.attributes, excluded);
+    const auto grant = co_await dispatcher.Acquire(plan_.attributes, excluded);
     if (!grant) {
       if (cause_ != Cause::kNone || may_have_run_ || attempt > 1) break;
       FinishClaim({.kind = ClaimEnd::Kind::kReleased});
@@ -191,11 +191,10 @@
     }
     if (!is_delivered_) {
       metrics.cut.Add();
-      context_.shared.log.Record(
-          EventId::kResponseCut,
-          {{"request", id_.value()},
-           {"service", plan_.attributes.service.value()},
-           {"reason", failure_}});
+      context_.shared.log.Record(EventId::kResponseCut,
+                                 {{"request", id_.value()},
+                                  {"service", plan_.attributes.service.value()},
+                                  {"reason", failure_}});
       co_return After::kReset;
     }
     if (context_.shared.log.is_enabled(EventId::kRequestAnswered)) {
@@ -211,11 +210,10 @@
   }
   if (cause_ == Cause::kCallerLeft || cause_ == Cause::kForced) {
     metrics.cancelled.Add();
-    context_.shared.log.Record(
-        EventId::kRequestCancelled,
-        {{"request", id_.value()},
-         {"service", plan_.attributes.service.value()},
-         {"handed_over", may_have_run_}});
+    context_.shared.log.Record(EventId::kRequestCancelled,
+                               {{"request", id_.value()},
+                                {"service", plan_.attributes.service.value()},
+                                {"handed_over", may_have_run_}});
     co_return After::kClose;
   }
   co_return co_await Answer(AnswerForEnd());
@@ -226,9 +224,12 @@
     memory_.attempt.Process(AttemptEvent::kCancelled);
     co_return;
   }
-  if (!co_await Connect(grant)) co_return;
-  if (!co_await SendRequest()) co_return;
-  if (co_await ReadResponseHead()) co_await Deliver(grant);
+  const bool is_connected = co_await Connect(grant);
+  if (!is_connected) co_return;
+  const bool is_sent = co_await SendRequest();
+  if (!is_sent) co_return;
+  const bool has_response = co_await ReadResponseHead();
+  if (has_response) co_await Deliver(grant);
   co_await StopUpload();
 }
 
@@ -237,8 +238,8 @@
   connection_ = pool.TryTake(context_.worker, context_.executor, grant);
   if (!connection_) {
     ticket_.emplace();
-    connection_ = co_await pool.Take(context_.worker, context_.executor, grant,
-                                     *ticket_);
+    connection_ =
+        co_await pool.Take(context_.worker, context_.executor, grant, *ticket_);
     ticket_.reset();
   }
   if (!connection_ || cause_ != Cause::kNone) {
@@ -269,11 +270,10 @@
   if (cause_ != Cause::kNone) event = AttemptEvent::kCancelled;
   if (event == AttemptEvent::kResponseInvalid) {
     context_.shared.metrics.invalid_responses.Add();
-    context_.shared.log.Record(
-        EventId::kBackendAnswerInvalid,
-        {{"request", id_.value()},
-         {"service", plan_.attributes.service.value()},
-         {"reason", detail}});
+    context_.shared.log.Record(EventId::kBackendAnswerInvalid,
+                               {{"request", id_.value()},
+                                {"service", plan_.attributes.service.value()},
+                                {"reason", detail}});
   }
   memory_.attempt.Process(event);
   failure_ = detail;
@@ -311,9 +311,8 @@
   } else {
     answer.status = may_have_run_ ? 502 : 503;
     answer.reason = failure_;
-    answer.message = may_have_run_
-                         ? "the backend server's response was lost"
-                         : "no backend server took the request";
+    answer.message = may_have_run_ ? "the backend server's response was lost"
+                                   : "no backend server took the request";
     if (!may_have_run_) answer.retry_after = kRetryHint;
   }
   return answer;
@@ -344,8 +343,8 @@
                  parser_.head().method == "HEAD");
   std::array buffers{asio::const_buffer(asio::buffer(memory_.head))};
   std::size_t written = 0;
-  if (co_await WriteAll(caller_.socket(), buffers, written))
-    co_return After::kClose;
+  const auto error = co_await WriteAll(caller_.socket(), buffers, written);
+  if (error) co_return After::kClose;
   co_return use == ConnectionUse::kKeepAlive ? After::kKeepAlive
                                              : After::kLinger;
 }
--- a/Services/Entry/request_exchange.h
+++ b/Services/Entry/request_exchange.h
@@ -111,7 +111,7 @@
   bool is_grant_open_ = false;
   bool is_admitted_ = true;  // counts as in flight
   bool has_claim_ = false;
-  bool may_have_run_ = false;       // by any attempt so far
+  bool may_have_run_ = false;        // by any attempt so far
   bool has_response_begun_ = false;  // bytes of the response were sent
   bool is_delivered_ = false;
   bool closes_caller_ = false;  // the response said so
--- a/Services/Entry/request_plan.cc
+++ b/Services/Entry/request_plan.cc
@@ -29,9 +29,8 @@
 }
 
 auto Refuse(unsigned status, std::string_view reason, std::string message) {
-  return outcome::failure(OwnAnswer{.status = status,
-                                    .reason = reason,
-                                    .message = std::move(message)});
+  return outcome::failure(OwnAnswer{
+      .status = status, .reason = reason, .message = std::move(message)});
 }
 
 }  // namespace
@@ -131,9 +130,8 @@
 
   if (head.has("Idempotency-Key")) {
     const std::string_view key = head.ValueOf("Idempotency-Key");
-    const bool is_visible = std::all_of(key.begin(), key.end(), [](char c) {
-      return c > ' ' && c < 0x7F;
-    });
+    const bool is_visible = std::all_of(
+        key.begin(), key.end(), [](char c) { return c > ' ' && c < 0x7F; });
     if (key.size() < kShortestKey || key.size() > kLongestKey || !is_visible) {
       return Refuse(400, "bad-idempotency-key",
                     "Idempotency-Key must have 16 to 64 visible characters");
@@ -154,8 +152,8 @@
   std::uint64_t hash = 0;
   // Each part is chained with its length, so that parts cannot run together.
   const auto add = [&hash](std::string_view part) {
-    hash = XXH3_64bits_withSeed(part.data(), part.size(),
-                                hash * 31 + part.size());
+    hash =
+        XXH3_64bits_withSeed(part.data(), part.size(), hash * 31 + part.size());
   };
   add(attributes.party.value());
   add(attributes.service.value());
--- a/Services/Entry/request_plan.h
+++ b/Services/Entry/request_plan.h
@@ -22,9 +22,9 @@
 struct OwnAnswer {
   RequestOutcome outcome = RequestOutcome::kNotRun;
   unsigned status = 503;
-  std::string_view reason;  // Dogwood-Reason, a literal
-  std::string message;      // for people
-  Duration retry_after{};   // zero: no hint
+  std::string_view reason;       // Dogwood-Reason, a literal
+  std::string message;           // for people
+  Duration retry_after{};        // zero: no hint
   unsigned recorded_status = 0;  // of a former send of the same key
 };
 
--- a/Services/Entry/request_transfer.cc
+++ b/Services/Entry/request_transfer.cc
@@ -113,7 +113,8 @@
   if (plan_.expects_continue && !has_response_begun_ &&
       caller_.input().empty()) {
     std::array buffers{asio::const_buffer(asio::buffer(kContinue))};
-    can_read = !co_await WriteAll(caller_.socket(), buffers, written);
+    const auto error = co_await WriteAll(caller_.socket(), buffers, written);
+    can_read = !error;
   }
   CallerBody reader(caller_, parser_);
   while (can_read && !is_stopping_upload_ && cause_ == Cause::kNone) {
@@ -127,8 +128,9 @@
     request_bytes_ += piece.size_bytes;
     GatherList list;
     list.AddPiece(piece, request_framing_.framing);
-    if (co_await WriteAll(connection_->socket(), list.buffers(), written))
-      break;
+    const auto error =
+        co_await WriteAll(connection_->socket(), list.buffers(), written);
+    if (error) break;
     if (piece.is_last) {
       end = UploadState::kFinished;
       break;
@@ -221,8 +223,8 @@
                            .length = parser.content_length()};
   if (status == 204) framing = {};
   // A caller of HTTP/1.0 knows no chunks; its connection's end ends the body.
-  const bool is_until_close = framing.framing == BodyFraming::kChunked &&
-                              parser_.head().version < 11;
+  const bool is_until_close =
+      framing.framing == BodyFraming::kChunked && parser_.head().version < 11;
   if (is_until_close) framing = {.framing = BodyFraming::kUntilClose};
   const BodyFraming body_framing =
       has_no_body ? BodyFraming::kNone : framing.framing;
@@ -265,7 +267,9 @@
     }
     list.AddPiece(piece, body_framing);
     std::size_t written = 0;
-    if (co_await WriteAll(caller_.socket(), list.buffers(), written)) {
+    const auto error =
+        co_await WriteAll(caller_.socket(), list.buffers(), written);
+    if (error) {
       if (cause_ == Cause::kNone) cause_ = Cause::kCallerLeft;
       Fail(AttemptEvent::kCancelled, "caller-left");
       co_return;
