Entry: Add tests of the request path and fix two faults they found

Cause: names in a second Connection field were forwarded, and the list 'Content-Length: 1, 1' passed Beast's parser as one length. Change: every Connection field counts; a list of lengths is refused. Tests run the process's classes on loopback against scripted backend servers.

--- a/Services/Entry/head_writer.cc
+++ b/Services/Entry/head_writer.cc
@@ -41,11 +41,9 @@
 template <std::size_t kCount>
 void AppendEndToEndFields(std::string& out, const MessageHead& head,
                           const std::array<std::string_view, kCount>& own) {
-  const std::string_view connection = head.ValueOf("Connection");
   for (std::size_t i = 0; i < head.field_count(); ++i) {
     const MessageHead::Field field = head.field(i);
-    if (IsHopByHop(field.name, connection) || IsOneOf(field.name, own))
-      continue;
+    if (head.is_hop_by_hop(field.name) || IsOneOf(field.name, own)) continue;
     AppendField(out, field.name, field.value);
   }
 }
--- a/Services/Entry/message_head.cc
+++ b/Services/Entry/message_head.cc
@@ -11,6 +11,8 @@
                                         : letter;
 }
 
+constexpr std::string_view kConnection = "connection";
+
 constexpr std::array<std::string_view, 8> kHopByHopNames = {
     "connection", "keep-alive", "proxy-connection",  "proxy-authenticate",
     "te",         "trailer",    "transfer-encoding", "upgrade"};
@@ -40,6 +42,7 @@
 
 void MessageHead::Clear() {
   text_.clear();
+  lists_names_ = false;
   spans_.clear();
   method.clear();
   target.clear();
@@ -53,6 +56,11 @@
                     static_cast<std::uint32_t>(value.size())});
   text_.append(name);
   text_.append(value);
+  if (EqualsIgnoringCase(name, kConnection) &&
+      !EqualsIgnoringCase(value, "keep-alive") &&
+      !EqualsIgnoringCase(value, "close")) {
+    lists_names_ = true;
+  }
 }
 
 MessageHead::Field MessageHead::field(std::size_t index) const {
@@ -78,11 +86,19 @@
   return false;
 }
 
-bool IsHopByHop(std::string_view name, std::string_view connection) {
+bool MessageHead::is_hop_by_hop(std::string_view name) const {
   for (const std::string_view hop : kHopByHopNames) {
     if (EqualsIgnoringCase(name, hop)) return true;
   }
-  return !connection.empty() && HasToken(connection, name);
+  if (!lists_names_) return false;
+  for (std::size_t i = 0; i < spans_.size(); ++i) {
+    const Field candidate = field(i);
+    if (EqualsIgnoringCase(candidate.name, kConnection) &&
+        HasToken(candidate.value, name)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 }  // namespace dogwood
--- a/Services/Entry/message_head.h
+++ b/Services/Entry/message_head.h
@@ -30,6 +30,9 @@
   std::size_t field_count() const { return spans_.size(); }
   // Valid until the next change of the head.
   Field field(std::size_t index) const;
+  // Whether a field describes one connection only, by its name or because a
+  // Connection field lists it, and is never forwarded.
+  bool is_hop_by_hop(std::string_view name) const;
   std::size_t size_bytes() const { return text_.size(); }
 
   std::string method;   // requests
@@ -45,11 +48,8 @@
   };
 
   std::string text_;
+  bool lists_names_ = false;  // a Connection field has more than an option
   std::vector<Span> spans_;
 };
 
-// Whether a field describes one connection only and is never forwarded.
-// `connection` is the value of the message's Connection field.
-bool IsHopByHop(std::string_view name, std::string_view connection);
-
 }  // namespace dogwood
--- a/Services/Entry/message_parser.cc
+++ b/Services/Entry/message_parser.cc
@@ -35,8 +35,11 @@
                            value.data() >= input.data() + input.size())) {
       return stop(FramingFault::kFoldedField);
     }
-    if (EqualsIgnoringCase(name, "content-length") && ++length_fields > 1)
-      return stop(FramingFault::kConflictingFraming);
+    if (EqualsIgnoringCase(name, "content-length")) {
+      // Beast takes a list of equal lengths for one length.
+      if (++length_fields > 1 || value.find(',') != std::string_view::npos)
+        return stop(FramingFault::kConflictingFraming);
+    }
     if (EqualsIgnoringCase(name, "transfer-encoding")) {
       if (++coding_fields > 1 || !EqualsIgnoringCase(value, "chunked"))
         return stop(FramingFault::kUnsupportedCoding);
--- /dev/null
+++ b/Tests/Services/Entry/entry_fixture.h
@@ -0,0 +1,287 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Services/Entry/baseline_dispatcher.h"
+#include "Services/Entry/entry_host.h"
+
+namespace dogwood {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+inline tcp::endpoint LoopbackPort(unsigned short port = 0) {
+  return {asio::ip::address_v4::loopback(), port};
+}
+
+// Reads until the bytes end with or contain `mark`, or the stream ends.
+inline std::string ReadUntil(tcp::socket& socket, std::string& rest,
+                             std::string_view mark) {
+  while (rest.find(mark) == std::string::npos) {
+    char bytes[4096];
+    boost::system::error_code error;
+    const std::size_t count = socket.read_some(asio::buffer(bytes), error);
+    rest.append(bytes, count);
+    if (error) break;
+  }
+  const std::size_t place = rest.find(mark);
+  const std::size_t end =
+      place == std::string::npos ? rest.size() : place + mark.size();
+  std::string taken = rest.substr(0, end);
+  rest.erase(0, end);
+  return taken;
+}
+
+inline std::string ReadCount(tcp::socket& socket, std::string& rest,
+                             std::size_t count) {
+  while (rest.size() < count) {
+    char bytes[4096];
+    boost::system::error_code error;
+    const std::size_t got = socket.read_some(asio::buffer(bytes), error);
+    rest.append(bytes, got);
+    if (error) break;
+  }
+  std::string taken = rest.substr(0, count);
+  rest.erase(0, count);
+  return taken;
+}
+
+// A connection that a fake backend server accepted.
+struct FakeConnection {
+  explicit FakeConnection(tcp::socket given) : socket(std::move(given)) {}
+
+  std::string ReadHead() { return ReadUntil(socket, rest, "\r\n\r\n"); }
+  std::string ReadBody(std::size_t count) {
+    return ReadCount(socket, rest, count);
+  }
+  void Send(std::string_view bytes) {
+    boost::system::error_code ignored;
+    asio::write(socket, asio::buffer(bytes), ignored);
+  }
+  // Whether the entry host closed the connection; waits for it or for bytes.
+  bool AwaitsEnd() {
+    char byte = 0;
+    boost::system::error_code error;
+    socket.read_some(asio::buffer(&byte, 1), error);
+    return static_cast<bool>(error);
+  }
+
+  tcp::socket socket;
+  std::string rest;
+};
+
+// Accepts connections on an ephemeral port and hands each to the script on a
+// thread of its own.
+class FakeBackend {
+ public:
+  using Script = std::function<void(FakeConnection&)>;
+
+  explicit FakeBackend(Script script)
+      : script_(std::move(script)), acceptor_(context_, LoopbackPort()) {
+    thread_ = std::thread([this] { Accept(); });
+  }
+
+  ~FakeBackend() {
+    is_stopping_ = true;
+    // Wakes the accept.
+    boost::system::error_code ignored;
+    asio::io_context context;
+    tcp::socket waker(context);
+    waker.connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+    for (auto& connection : connections_)
+      connection->socket.shutdown(tcp::socket::shutdown_both, ignored);
+    for (std::thread& runner : runners_) runner.join();
+  }
+
+  unsigned short port() const { return acceptor_.local_endpoint().port(); }
+  int connection_count() const { return count_; }
+
+ private:
+  void Accept() {
+    while (true) {
+      boost::system::error_code error;
+      tcp::socket socket = acceptor_.accept(error);
+      if (is_stopping_) return;
+      if (error) continue;
+      ++count_;
+      connections_.push_back(
+          std::make_unique<FakeConnection>(std::move(socket)));
+      FakeConnection* connection = connections_.back().get();
+      runners_.emplace_back([this, connection] {
+        script_(*connection);
+        boost::system::error_code ignored;
+        connection->socket.shutdown(tcp::socket::shutdown_both, ignored);
+      });
+    }
+  }
+
+  Script script_;
+  asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::atomic<bool> is_stopping_ = false;
+  std::atomic<int> count_ = 0;
+  std::vector<std::unique_ptr<FakeConnection>> connections_;
+  std::vector<std::thread> runners_;
+  std::thread thread_;
+};
+
+// A response with a body and its length.
+inline std::string Respond(std::string_view body,
+                           std::string_view fields = "") {
+  return "HTTP/1.1 200 OK\r\n" + std::string(fields) +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         std::string(body);
+}
+
+// Passes calls on to a BaselineDispatcher and keeps the reports.
+class RecordingDispatcher : public BaselineDispatcher {
+ public:
+  RecordingDispatcher() : BaselineDispatcher(PlacementPolicy::kRoundRobin, 1) {}
+
+  void Complete(const RequestAttributes& request, const DispatchGrant& grant,
+                const AttemptReport& report) override {
+    {
+      const std::lock_guard lock(mutex_);
+      reports_.push_back(report);
+    }
+    BaselineDispatcher::Complete(request, grant, report);
+  }
+  std::vector<AttemptReport> reports() const {
+    const std::lock_guard lock(mutex_);
+    return reports_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<AttemptReport> reports_;
+};
+
+class RecordingUsage : public UsageRecorder {
+ public:
+  void Record(const UsageRecord& record) override {
+    const std::lock_guard lock(mutex_);
+    records_.push_back(record);
+  }
+  std::vector<UsageRecord> records() const {
+    const std::lock_guard lock(mutex_);
+    return records_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<UsageRecord> records_;
+};
+
+// An entry host on an ephemeral port, with control work on a thread.
+class EntryFixture {
+ public:
+  struct Options {
+    std::vector<unsigned short> ports;  // of the backend servers
+    std::string parties;                // JSON object
+    ClaimService* claims = nullptr;
+    unsigned workers = 1;
+    Duration stop_deadline = std::chrono::seconds(30);
+    std::string token_file;
+  };
+
+  explicit EntryFixture(const Options& options) {
+    std::string servers;
+    for (const unsigned short port : options.ports) {
+      servers += (servers.empty() ? "" : ",") + ("\"s" + std::to_string(port)) +
+                 R"(":{"zone":"z","address":"127.0.0.1:)" +
+                 std::to_string(port) + "\"}";
+    }
+    const std::string text = R"({"services":{"svc":{"servers":{)" + servers +
+                             R"(}}},"parties":{)" + options.parties + "}}";
+    auto fleet = FleetConfiguration::Parse(text);
+    VERIFY(fleet.has_value());
+    VERIFY(dispatcher.Apply(fleet.value()).has_value());
+    EntrySettings settings;
+    settings.host = HostId("h1");
+    settings.callers = LoopbackPort();
+    settings.operators = LoopbackPort();
+    settings.operator_token_file = options.token_file;
+    settings.workers = options.workers;
+    settings.stop_deadline = options.stop_deadline;
+    log_ = std::move(EventLog::Open({.host = settings.host,
+                                     .process = "entry_test",
+                                     .file = "/dev/null"})
+                         .value());
+    host = std::make_unique<EntryHost>(settings, std::move(fleet).value(),
+                                       EntryParts{.dispatcher = dispatcher,
+                                                  .log = *log_,
+                                                  .metrics = metrics,
+                                                  .claims = options.claims,
+                                                  .usage = &usage});
+    VERIFY(host->Start().has_value());
+    thread_ = std::thread([this] { host->Run(); });
+  }
+
+  ~EntryFixture() {
+    host->RequestStop();
+    host->RequestStop();
+    Join();
+  }
+  void Join() {
+    if (thread_.joinable()) thread_.join();
+  }
+
+  RecordingDispatcher dispatcher;
+  RecordingUsage usage;
+  MetricsRegistry metrics;
+  std::unique_ptr<EntryHost> host;
+
+ private:
+  std::unique_ptr<EventLog> log_;
+  std::thread thread_;
+};
+
+// A caller's connection.
+class Caller {
+ public:
+  explicit Caller(const EntryFixture& entry)
+      : Caller(entry.host->callers_endpoint()) {}
+  explicit Caller(const tcp::endpoint& endpoint) : socket(context_) {
+    socket.connect(endpoint);
+  }
+
+  void Send(std::string_view bytes) {
+    boost::system::error_code ignored;
+    asio::write(socket, asio::buffer(bytes), ignored);
+  }
+  std::string ReadHead() { return ReadUntil(socket, rest, "\r\n\r\n"); }
+  std::string ReadBody(std::size_t count) {
+    return ReadCount(socket, rest, count);
+  }
+  std::string ReadAll() { return ReadUntil(socket, rest, "\x01 never"); }
+  // Sends a request without body and returns all the entry host sends until it
+  // closes the connection.
+  std::string Exchange(std::string_view method, std::string_view fields = "") {
+    Send(std::string(method) + " /x HTTP/1.1\r\nHost: h\r\n" +
+         "Dogwood-Service: svc\r\nConnection: close\r\n" + std::string(fields) +
+         "\r\n");
+    return ReadAll();
+  }
+
+ private:
+  asio::io_context context_;
+
+ public:
+  tcp::socket socket;
+  std::string rest;
+};
+
+}  // namespace dogwood
--- /dev/null
+++ b/Tests/Services/Entry/entry_host_test.cc
@@ -0,0 +1,233 @@
+#include <doctest/doctest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <cstdio>
+#include <fstream>
+#include <future>
+
+#include "Services/Entry/command_line.h"
+#include "Tests/Services/Entry/entry_fixture.h"
+
+namespace dogwood {
+namespace {
+
+bool Has(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+// Guards against a shutdown that cuts a slow upload, takes new work, or never
+// ends.
+TEST_CASE("A graceful stop finishes a slow upload and refuses new work") {
+  std::promise<void> arrived;
+  FakeBackend backend([&](FakeConnection& connection) {
+    connection.ReadHead();
+    connection.ReadBody(100000);
+    arrived.set_value();
+    connection.Send(
+        Respond(std::to_string(connection.ReadBody(100000).size())));
+  });
+  EntryFixture entry({.ports = {backend.port()}});
+  Caller idle(entry);
+  Caller upload(entry);
+  upload.Send(
+      "PUT /x HTTP/1.1\r\nHost: h\r\nDogwood-Service: svc\r\n"
+      "Content-Length: 200000\r\n\r\n" +
+      std::string(150000, 'x'));
+  arrived.get_future().wait();
+  entry.host->RequestStop();
+  std::string refused;
+  // The stop takes effect on the control thread a moment later.
+  while (!Has(refused, "Dogwood-Reason: stopping"))
+    refused = Caller(entry).Exchange("GET", "Dogwood-Deadline-Ms: 20\r\n");
+  CHECK(Has(refused, "Dogwood-Outcome: not-run\r\n"));
+  CHECK(Has(refused, "Retry-After: 1\r\n"));
+  CHECK(Has(idle.Exchange("GET"), "Dogwood-Reason: stopping"));
+  upload.Send(std::string(50000, 'x'));
+  const std::string answer = upload.ReadAll();
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(answer.ends_with("100000"));
+  entry.Join();
+  CHECK(entry.host->cut_count() == 0);
+  CHECK(entry.host->phase() == HostPhase::kStopped);
+}
+
+// Guards against a stop that waits for ever, or hides what it cut.
+TEST_CASE("A second stop request and the stop deadline cut and count") {
+  for (const bool by_deadline : {false, true}) {
+    std::promise<void> arrived;
+    FakeBackend backend([&](FakeConnection& connection) {
+      connection.ReadHead();
+      arrived.set_value();
+      connection.AwaitsEnd();
+    });
+    EntryFixture entry({.ports = {backend.port()},
+                        .stop_deadline = by_deadline
+                                             ? std::chrono::milliseconds(50)
+                                             : std::chrono::seconds(300)});
+    Caller caller(entry);
+    caller.Send("GET / HTTP/1.1\r\nHost: h\r\nDogwood-Service: svc\r\n\r\n");
+    arrived.get_future().wait();
+    entry.host->RequestStop();
+    if (!by_deadline) entry.host->RequestStop();
+    entry.Join();
+    CHECK(entry.host->cut_count() == 1);
+  }
+}
+
+class ScriptedClaims : public ClaimService {
+ public:
+  asio::awaitable<ClaimDecision> Claim(
+      const RequestAttributes& /*request*/) override {
+    ++claimed;
+    co_return decision;
+  }
+  void Finish(const RequestAttributes& /*request*/,
+              const ClaimEnd& end) override {
+    ends.push_back(end);
+  }
+
+  ClaimDecision decision;
+  std::atomic<int> claimed = 0;
+  std::vector<ClaimEnd> ends;
+};
+
+// Guards against a hand-over without a granted claim, and against claims that
+// are never finished or finished with the wrong end.
+TEST_CASE("A key is claimed before the hand-over and finished once") {
+  ScriptedClaims claims;
+  std::atomic<int> runs = 0;
+  FakeBackend backend([&](FakeConnection& connection) {
+    while (connection.ReadHead().ends_with("\r\n\r\n")) {
+      // The second run loses its response.
+      if (++runs == 2) return;
+      connection.Send(Respond("ok"));
+    }
+  });
+  EntryFixture entry({.ports = {backend.port()}, .claims = &claims});
+  const std::string key = "Idempotency-Key: 0123456789abcdef\r\n";
+  using Kind = ClaimDecision::Kind;
+
+  claims.decision = {.kind = Kind::kUnavailable,
+                     .retry_after = std::chrono::milliseconds(1500)};
+  std::string answer = Caller(entry).Exchange("POST", key);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(Has(answer, "Dogwood-Reason: store-unavailable\r\n"));
+  CHECK(Has(answer, "Retry-After: 2\r\n"));
+  claims.decision = {.kind = Kind::kOutcomeUnknown};
+  CHECK(Has(Caller(entry).Exchange("POST", key), "Dogwood-Outcome: unknown"));
+  claims.decision = {.kind = Kind::kCompleted, .status = 201};
+  answer = Caller(entry).Exchange("POST", key);
+  CHECK(answer.starts_with("HTTP/1.1 409"));
+  CHECK(Has(answer, "\"recorded_status\":201"));
+  CHECK(runs == 0);
+  CHECK(claims.ends.empty());
+
+  claims.decision = {.kind = Kind::kGranted};
+  CHECK(Caller(entry).Exchange("POST", key).starts_with("HTTP/1.1 200"));
+  CHECK(Caller(entry).Exchange("POST", key).starts_with("HTTP/1.1 502"));
+  REQUIRE(claims.ends.size() == 2);
+  CHECK(claims.ends[0].kind == ClaimEnd::Kind::kCompleted);
+  CHECK(claims.ends[0].status == 200);
+  CHECK(claims.ends[1].kind == ClaimEnd::Kind::kUnknown);
+  CHECK(claims.claimed == 5);
+  // Repeatable requests and requests without key need no claim.
+  Caller(entry).Exchange("GET", key);
+  Caller(entry).Exchange("POST");
+  CHECK(claims.claimed == 5);
+}
+
+// Guards against more connections than the backend server agreed to, and
+// against requests that wait for ever for one.
+TEST_CASE("Connections stay within the cap and waiting requests get one") {
+  FakeBackend backend([](FakeConnection& connection) {
+    while (connection.ReadHead().ends_with("\r\n\r\n"))
+      connection.Send(Respond("ok"));
+  });
+  EntryFixture entry({.ports = {backend.port()}, .workers = 2});
+  entry.host->pool().set_live_hosts(1000);
+  CHECK(entry.host->pool().cap() == 1);
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int round = 0; round < 5; ++round) {
+    for (int i = 0; i < 6; ++i) {
+      if (round == 0) callers.push_back(std::make_unique<Caller>(entry));
+      callers[i]->Send(
+          "GET / HTTP/1.1\r\nHost: h\r\nDogwood-Service: svc\r\n\r\n");
+    }
+    for (const auto& caller : callers) {
+      CHECK(caller->ReadHead().starts_with("HTTP/1.1 200"));
+      CHECK(caller->ReadBody(2) == "ok");
+    }
+  }
+  DispatchGrant grant{.server = ServerId("s" + std::to_string(backend.port())),
+                      .endpoint = LoopbackPort(backend.port())};
+  CHECK(entry.host->pool().open_connections(grant) == 1);
+}
+
+// Guards against operators' data that anybody can read.
+TEST_CASE("The operators' listener asks for the token") {
+  const std::string file =
+      "/tmp/dogwood_entry_test_token_" + std::to_string(::getpid());
+  std::ofstream(file) << "secret\n";
+  EntryFixture entry({.token_file = file});
+  std::remove(file.c_str());
+  const auto ask = [&](const std::string& path, const std::string& fields) {
+    Caller caller(entry.host->operators().local_endpoint());
+    caller.Send("GET " + path +
+                " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + fields +
+                "\r\n");
+    return caller.ReadAll();
+  };
+  const std::string token = "Authorization: Bearer secret\r\n";
+  CHECK(ask("/metrics", "").starts_with("HTTP/1.1 401"));
+  CHECK(ask("/metrics", "Authorization: Bearer secres\r\n")
+            .starts_with("HTTP/1.1 401"));
+  CHECK(ask("/metrics", "Authorization: Bearer \r\n")
+            .starts_with("HTTP/1.1 401"));
+  CHECK(Has(ask("/metrics", token), "dogwood_requests_total"));
+  CHECK(Has(ask("/v1/status", token), "\"phase\":\"serving\""));
+  CHECK(ask("/v1/none", token).starts_with("HTTP/1.1 404"));
+}
+
+// Guards against settings with a typing error that are taken in silence.
+TEST_CASE("Process settings name the offending value") {
+  const auto message = [](std::string_view json) {
+    const auto settings = EntrySettings::Parse(json);
+    return settings ? std::string() : settings.error().message;
+  };
+  const std::string good =
+      R"("host":"h","zone":"z","listen":{"callers":"127.0.0.1:1"})";
+  CHECK(message("{" + good + "}").empty());
+  CHECK(message("{" + good + R"(,"placement_policy":"random","workers":4})")
+            .empty());
+  CHECK(message("[]") == "settings: expected a JSON object");
+  CHECK(message(R"({"zone":"z"})") == "host: is required");
+  CHECK(message("{" + good + R"(,"workers":0})").starts_with("workers: "));
+  CHECK(message("{" + good + R"(,"worker":1})") ==
+        "worker: is not a known setting");
+  CHECK(message("{" + good + R"(,"placement_policy":"best"})")
+            .starts_with("placement_policy: "));
+  CHECK(message(R"({"host":"h","zone":"z","listen":{"callers":"x:1"}})")
+            .starts_with("listen.callers: "));
+}
+
+// Guards against command lines that are misread.
+TEST_CASE("The command line is checked") {
+  const auto parse = [](std::vector<std::string> words) {
+    words.insert(words.begin(), "dogwood-entry");
+    std::vector<char*> arguments;
+    for (std::string& word : words) arguments.push_back(word.data());
+    arguments.push_back(nullptr);
+    return CommandLine::Parse(static_cast<int>(words.size()), arguments.data());
+  };
+  CHECK(parse({"--config", "f"}).value().configuration_file == "f");
+  CHECK(parse({"--check-config", "--config", "f"}).value().action ==
+        CommandLine::Action::kCheckConfiguration);
+  CHECK(parse({"--help"}).value().action == CommandLine::Action::kShowHelp);
+  CHECK_FALSE(parse({}).has_value());
+  CHECK_FALSE(parse({"--config"}).has_value());
+  CHECK_FALSE(parse({"--nonsense"}).has_value());
+  CHECK_FALSE(parse({"--config", "f", "more"}).has_value());
+}
+
+}  // namespace
+}  // namespace dogwood
