--- a/Services/Entry/claim_coordinator.cc
+++ b/Services/Entry/claim_coordinator.cc
@@ -278,7 +278,7 @@
   if (left > Duration{}) co_await clock_.Sleep(std::min(backoff, left));
 }
 
-asio::awaitable<ClaimDecision> ClaimCoordinator::Claim(std::string key,
+asio::awaitable<ClaimReply> ClaimCoordinator::Claim(std::string key,
                                                        RequestId request,
                                                        TimePoint deadline) {
   const ClaimKeyHash hash = HashClaimKey(key);
@@ -286,7 +286,7 @@
   const ClaimantId claimant =
       MakeClaimantId(holder_.host(), holder_.incarnation(), ++claim_counter_);
   bool may_be_claimed = false;
-  ClaimDecision decision{ClaimDecision::Kind::kNotRun, 0,
+  ClaimReply decision{ClaimReply::Kind::kNotRun, 0,
                          "claim-holder-not-found", kRetryHint};
   for (int attempt = 0; clock_.Now() < deadline; ++attempt) {
     const HostId target = TargetOf(shard);
@@ -310,15 +310,15 @@
       may_be_claimed = true;
       if (clock_.Now() >= deadline) break;
       granted_[request] = claimant;
-      co_return ClaimDecision{ClaimDecision::Kind::kGranted};
+      co_return ClaimReply{ClaimReply::Kind::kGranted};
     }
     if (answer.kind == Kind::kUnavailable)
       decision.reason = "store-unavailable";
     if (answer.kind == Kind::kBusy) decision.reason = "claims-over-capacity";
     if (answer.kind == Kind::kOutcomeUnknown)
-      decision = {ClaimDecision::Kind::kOutcomeUnknown};
+      decision = {ClaimReply::Kind::kOutcomeUnknown};
     if (answer.kind == Kind::kCompleted)
-      decision = {ClaimDecision::Kind::kCompleted, answer.status};
+      decision = {ClaimReply::Kind::kCompleted, answer.status};
     break;
   }
   if (may_be_claimed)
@@ -496,7 +496,7 @@
     Deliver(holder_.Drop(ClaimShardId(shard)));
 }
 
-asio::awaitable<ClaimDecision> ClaimClient::Claim(std::string key,
+asio::awaitable<ClaimReply> ClaimClient::Claim(std::string key,
                                                   RequestId request,
                                                   TimePoint deadline) {
   co_return co_await asio::co_spawn(
--- a/Services/Entry/claim_coordinator.h
+++ b/Services/Entry/claim_coordinator.h
@@ -21,7 +21,7 @@
 namespace dogwood {
 
 // What a request with an idempotency key may do.
-struct ClaimDecision {
+struct ClaimReply {
   enum class Kind {
     kGranted,         // hand it over, then call Finish
     kNotRun,          // this request is never handed over
@@ -65,7 +65,7 @@
 
   // Returns at the deadline at the latest. A grant that comes later is released
   // and never used.
-  boost::asio::awaitable<ClaimDecision> Claim(std::string key,
+  boost::asio::awaitable<ClaimReply> Claim(std::string key,
                                               RequestId request,
                                               TimePoint deadline);
   // Reports the end of a granted request: kCompleted with the HTTP status,
@@ -163,7 +163,7 @@
               boost::asio::any_io_executor control)
       : coordinator_(coordinator), control_(std::move(control)) {}
 
-  boost::asio::awaitable<ClaimDecision> Claim(std::string key,
+  boost::asio::awaitable<ClaimReply> Claim(std::string key,
                                               RequestId request,
                                               TimePoint deadline);
   boost::asio::awaitable<Result<void>> Finish(std::string key,
--- a/Services/Entry/request_exchange.cc
+++ b/Services/Entry/request_exchange.cc
@@ -66,7 +66,11 @@
   if (!plan) co_return co_await Answer(std::move(plan).error());
   plan_ = std::move(plan).value();
   // A caller that expects 100 Continue learns of a refusal before it sends.
-  if (!plan_.expects_continue && !co_await BufferBody()) {
+  // Conditions below hold no co_await: with several of them in conditions of
+  // one coroutine, g++ 12 addresses the coroutine frame wrongly.
+  bool is_buffered = true;
+  if (!plan_.expects_continue) is_buffered = co_await BufferBody();
+  if (!is_buffered) {
     if (cause_ == Cause::kCallerLeft) {
       context_.shared.metrics.cancelled.Add();
       co_return After::kClose;
@@ -76,8 +80,8 @@
   plan_.attributes.fingerprint =
       FingerprintOf(plan_.attributes, parser_.head(), memory_.body);
   if (parser_.is_complete()) WatchCaller();
-  if (auto answer = co_await Claim())
-    co_return co_await Answer(std::move(*answer));
+  std::optional<OwnAnswer> claim_answer = co_await Claim();
+  if (claim_answer) co_return co_await Answer(std::move(*claim_answer));
   const After after = co_await RunAttempts();
   co_return after;
 }
@@ -220,9 +224,12 @@
     memory_.attempt.Process(AttemptEvent::kCancelled);
     co_return;
   }
-  if (!co_await Connect(grant)) co_return;
-  if (!co_await SendRequest()) co_return;
-  if (co_await ReadResponseHead()) co_await Deliver(grant);
+  const bool is_connected = co_await Connect(grant);
+  if (!is_connected) co_return;
+  const bool is_sent = co_await SendRequest();
+  if (!is_sent) co_return;
+  const bool has_response = co_await ReadResponseHead();
+  if (has_response) co_await Deliver(grant);
   co_await StopUpload();
 }
 
@@ -336,8 +343,8 @@
                  parser_.head().method == "HEAD");
   std::array buffers{asio::const_buffer(asio::buffer(memory_.head))};
   std::size_t written = 0;
-  if (co_await WriteAll(caller_.socket(), buffers, written))
-    co_return After::kClose;
+  const auto error = co_await WriteAll(caller_.socket(), buffers, written);
+  if (error) co_return After::kClose;
   co_return use == ConnectionUse::kKeepAlive ? After::kKeepAlive
                                              : After::kLinger;
 }
--- a/Services/Entry/usage_service.cc
+++ b/Services/Entry/usage_service.cc
@@ -1,7 +1,5 @@
 #include "Services/Entry/usage_service.h"
 
-#include <openssl/evp.h>
-#include <spdlog/fmt/fmt.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -53,16 +51,6 @@
 
 }  // namespace
 
-std::string Sha256Hex(std::string_view text) {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned length = 0;
-  VERIFY(EVP_Digest(text.data(), text.size(), digest.data(), &length,
-                    EVP_sha256(), nullptr) == 1);
-  std::string hex;
-  for (unsigned i = 0; i < length; ++i) hex += fmt::format("{:02x}", digest[i]);
-  return hex;
-}
-
 UsageService::UsageService(asio::any_io_executor executor, ControlClock& clock,
                            TableStore& store, PeerChannel& peers,
                            EventLog& events, UsageLedger& ledger, HostId host,
--- a/Services/Entry/usage_service.h
+++ b/Services/Entry/usage_service.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "Libraries/Observe/observe.h"
-#include "Libraries/Platform/table_store.h"
+#include "Libraries/Platform/platform.h"
 #include "Libraries/Usage/usage.h"
 #include "Services/Entry/control_clock.h"
 #include "Services/Entry/peer_channel.h"
@@ -126,7 +126,4 @@
   bool is_stopping_ = false;
 };
 
-// Hexadecimal SHA-256 of a text.
-std::string Sha256Hex(std::string_view text);
-
 }  // namespace dogwood
--- a/Tests/Services/Entry/claim_coordinator_test.cc
+++ b/Tests/Services/Entry/claim_coordinator_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 using namespace testing;  // NOLINT(google-build-using-namespace)
-using Decision = ClaimDecision::Kind;
+using Decision = ClaimReply::Kind;
 
 // What requesters did and were told, in order of time.
 struct ClaimEvent {
@@ -111,7 +111,7 @@
   asio::awaitable<void> Request(Host* host, std::string key, int request,
                                 Duration patience) {
     const RequestId id("r" + std::to_string(request));
-    const ClaimDecision decision =
+    const ClaimReply decision =
         co_await host->coordinator.Claim(key, id, world.now + patience);
     ++decisions[decision.kind];
     if (decision.kind == Decision::kNotRun)
