Entry: Join request path, permits, peers, settings, claims and usage

Cause: the modules were built apart; a fleet needs them in one process. Change: ControlPlane owns peers, permit dispatcher, settings, claims and usage on the control thread; the callers' listener opens when the host has the fleet's settings and a usage row; a planned stop announces leaving, hands the claim shards over and writes usage.

--- a/Libraries/Platform/object_store.cc
+++ b/Libraries/Platform/object_store.cc
@@ -59,7 +59,7 @@
   if (response.status == 404)
     co_return Fail(ErrorCode::kNotFound, "object " + name + " does not exist");
   const std::string found = Sha256Hex(response.body);
-  if (found != expected_sha256) {
+  if (!expected_sha256.empty() && found != expected_sha256) {
     co_return Fail(ErrorCode::kProtocol, "object " + name + " has SHA-256 " +
                                              found + ", expected " +
                                              expected_sha256);
--- a/Libraries/Platform/object_store.h
+++ b/Libraries/Platform/object_store.h
@@ -29,6 +29,7 @@
                                                   std::string bytes,
                                                   Duration timeout);
 
+  // An empty digest is not checked.
   // Fails with kNotFound, kUnavailable, kDeadlineExceeded, or kProtocol when
   // the bytes do not have the expected SHA-256.
   boost::asio::awaitable<Result<std::string>> Read(std::string name,
--- a/Services/Entry/claim_coordinator.cc
+++ b/Services/Entry/claim_coordinator.cc
@@ -279,15 +279,15 @@
 }
 
 asio::awaitable<ClaimReply> ClaimCoordinator::Claim(std::string key,
-                                                       RequestId request,
-                                                       TimePoint deadline) {
+                                                    RequestId request,
+                                                    TimePoint deadline) {
   const ClaimKeyHash hash = HashClaimKey(key);
   const ClaimShardId shard = ShardOf(hash);
   const ClaimantId claimant =
       MakeClaimantId(holder_.host(), holder_.incarnation(), ++claim_counter_);
   bool may_be_claimed = false;
-  ClaimReply decision{ClaimReply::Kind::kNotRun, 0,
-                         "claim-holder-not-found", kRetryHint};
+  ClaimReply decision{ClaimReply::Kind::kNotRun, 0, "claim-holder-not-found",
+                      kRetryHint};
   for (int attempt = 0; clock_.Now() < deadline; ++attempt) {
     const HostId target = TargetOf(shard);
     const Result<Reply> reply =
@@ -497,8 +497,8 @@
 }
 
 asio::awaitable<ClaimReply> ClaimClient::Claim(std::string key,
-                                                  RequestId request,
-                                                  TimePoint deadline) {
+                                               RequestId request,
+                                               TimePoint deadline) {
   co_return co_await asio::co_spawn(
       control_,
       coordinator_.Claim(std::move(key), std::move(request), deadline),
--- a/Services/Entry/claim_coordinator.h
+++ b/Services/Entry/claim_coordinator.h
@@ -65,9 +65,8 @@
 
   // Returns at the deadline at the latest. A grant that comes later is released
   // and never used.
-  boost::asio::awaitable<ClaimReply> Claim(std::string key,
-                                              RequestId request,
-                                              TimePoint deadline);
+  boost::asio::awaitable<ClaimReply> Claim(std::string key, RequestId request,
+                                           TimePoint deadline);
   // Reports the end of a granted request: kCompleted with the HTTP status,
   // kReleased when it was not handed over, kUnknown otherwise. Returns when the
   // holder has made it durable.
@@ -163,9 +162,8 @@
               boost::asio::any_io_executor control)
       : coordinator_(coordinator), control_(std::move(control)) {}
 
-  boost::asio::awaitable<ClaimReply> Claim(std::string key,
-                                              RequestId request,
-                                              TimePoint deadline);
+  boost::asio::awaitable<ClaimReply> Claim(std::string key, RequestId request,
+                                           TimePoint deadline);
   boost::asio::awaitable<Result<void>> Finish(std::string key,
                                               RequestId request,
                                               ClaimState outcome,
--- a/Services/Entry/entry_host.cc
+++ b/Services/Entry/entry_host.cc
@@ -58,6 +58,7 @@
               .metrics = metrics_,
               .claims = parts_.claims,
               .usage = parts_.usage},
+      control_(parts.control),
       signals_(control_) {
   const std::string start = RandomHex();
   for (unsigned i = 0; i < settings_.workers; ++i) {
@@ -182,10 +183,12 @@
   const TimePoint deadline = MonotonicNow() + settings_.stop_deadline;
   std::optional<TimePoint> drained_at;
   asio::steady_timer timer(control_);
+  if (parts_.on_leaving) co_await parts_.on_leaving();
   while (life_cycle_.phase() == HostPhase::kLeaving) {
     const TimePoint now = MonotonicNow();
     if (!drained_at && in_flight() == 0) drained_at = now;
     if (drained_at && now >= *drained_at + kRefusalPeriod) {
+      if (parts_.on_drained) co_await parts_.on_drained();
       life_cycle_.Process(HostEvent::kDrained);
       FinishStop();
     } else if (now >= deadline) {
--- a/Services/Entry/entry_host.h
+++ b/Services/Entry/entry_host.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -24,8 +25,13 @@
   RequestDispatcher& dispatcher;
   EventLog& log;
   MetricsRegistry& metrics;
+  boost::asio::io_context& control;
   ClaimService* claims = nullptr;
   UsageRecorder* usage = nullptr;
+  // Run on the control thread at a planned stop: before requests in flight are
+  // finished, and after the last one. May be empty.
+  std::function<boost::asio::awaitable<void>()> on_leaving;
+  std::function<boost::asio::awaitable<void>()> on_drained;
 };
 
 // The process on an entry host: workers, listeners and life cycle.
@@ -77,7 +83,7 @@
   // Connections give back their places when the workers end.
   BackendPool pool_;
   SharedRelay shared_;
-  boost::asio::io_context control_{1};
+  boost::asio::io_context& control_;
   boost::asio::signal_set signals_;
   HostLifeCycle life_cycle_;
   OperatorListener operators_;
--- a/Services/Entry/main.cc
+++ b/Services/Entry/main.cc
@@ -1,8 +1,11 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <cstdio>
 #include <random>
 
 #include "Services/Entry/baseline_dispatcher.h"
 #include "Services/Entry/command_line.h"
+#include "Services/Entry/control_plane.h"
 #include "Services/Entry/entry_host.h"
 #include "Services/Entry/entry_settings.h"
 
@@ -32,34 +35,107 @@
   return FleetConfiguration::Parse(text);
 }
 
-int RunHost(const EntrySettings& settings, FleetConfiguration fleet,
-            BaselineDispatcher& dispatcher) {
-  const auto log = EventLog::Open({.host = settings.host,
-                                   .zone = settings.zone,
-                                   .process = "dogwood-entry",
-                                   .file = settings.log_file,
-                                   .lowest_level = settings.log_level});
-  if (!log) {
-    PrintError(log.error().ToString());
-    return kExitFailure;
-  }
+Result<std::unique_ptr<EventLog>> OpenLog(const EntrySettings& settings) {
+  return EventLog::Open({.host = settings.host,
+                         .zone = settings.zone,
+                         .process = "dogwood-entry",
+                         .file = settings.log_file,
+                         .lowest_level = settings.log_level});
+}
+
+int ReportStartFailure(EventLog& log, const Error& error) {
+  log.Record(EventId::kStartFailed, {{"error", error.message}});
+  PrintError(error.ToString());
+  return error.code == ErrorCode::kInvalidArgument ? kExitUsage : kExitFailure;
+}
+
+// A host on its own: configuration from a file, placement by a baseline policy.
+int RunAlone(const EntrySettings& settings, FleetConfiguration fleet,
+             EventLog& log) {
+  BaselineDispatcher dispatcher(settings.placement_policy,
+                                std::random_device()());
+  const Result<void> applied = dispatcher.Apply(fleet);
+  if (applied.has_error()) return ReportStartFailure(log, applied.error());
   MetricsRegistry metrics;
-  EntryHost host(
-      settings, std::move(fleet),
-      {.dispatcher = dispatcher, .log = *log.value(), .metrics = metrics});
+  boost::asio::io_context control(1);
+  EntryHost host(settings, std::move(fleet),
+                 {.dispatcher = dispatcher,
+                  .log = log,
+                  .metrics = metrics,
+                  .control = control});
   host.HandleSignals();
   const Result<void> started = host.Start();
-  if (!started) {
-    log.value()->Record(EventId::kStartFailed,
-                        {{"error", started.error().message}});
-    PrintError(started.error().ToString());
-    return started.error().code == ErrorCode::kInvalidArgument ? kExitUsage
-                                                               : kExitFailure;
-  }
+  if (started.has_error()) return ReportStartFailure(log, started.error());
   host.Run();
   return host.cut_count() == 0 ? kExitSuccess : kExitFailure;
 }
 
+// Opens the callers' listener when the control plane is ready for work.
+boost::asio::awaitable<void> StartWhenReady(ControlPlane& plane,
+                                            EntryHost& host, EventLog& log,
+                                            int& exit_code) {
+  co_await plane.BecomeReady();
+  const Result<void> started = host.Start();
+  if (started.has_value()) co_return;
+  exit_code = ReportStartFailure(log, started.error());
+  host.control_context().stop();
+}
+
+// A host of a fleet: peers, and settings from the platform.
+int RunInFleet(const EntrySettings& settings, EventLog& log) {
+  MetricsRegistry metrics;
+  boost::asio::io_context control(1);
+  auto plane = ControlPlane::Create(settings, control, log, metrics);
+  if (plane.has_error()) return ReportStartFailure(log, plane.error());
+  ControlPlane& control_plane = *plane.value();
+  int exit_code = kExitSuccess;
+  {
+    EntryHost host(
+        settings, FleetConfiguration{},
+        {.dispatcher = control_plane.dispatcher(),
+         .log = log,
+         .metrics = metrics,
+         .control = control,
+         .claims = &control_plane.claims(),
+         .usage = &control_plane.usage(),
+         .on_leaving = [&] { return control_plane.AnnounceLeaving(); },
+         .on_drained = [&] { return control_plane.FinishLeaving(); }});
+    control_plane.Attach(host);
+    host.HandleSignals();
+    boost::asio::co_spawn(control,
+                          StartWhenReady(control_plane, host, log, exit_code),
+                          boost::asio::detached);
+    host.Run();
+    if (host.cut_count() > 0) exit_code = kExitFailure;
+  }
+  return exit_code;
+}
+
+int RunHost(const EntrySettings& settings) {
+  const auto log = OpenLog(settings);
+  if (log.has_error()) {
+    PrintError(log.error().ToString());
+    return kExitFailure;
+  }
+  if (settings.platform.has_value()) return RunInFleet(settings, *log.value());
+  auto fleet = LoadFleet(settings);
+  if (fleet.has_error()) {
+    return ReportStartFailure(*log.value(), fleet.error());
+  }
+  return RunAlone(settings, std::move(fleet).value(), *log.value());
+}
+
+Result<void> CheckConfiguration(const EntrySettings& settings) {
+  if (settings.platform.has_value()) {
+    if (settings.peers.has_value()) return outcome::success();
+    return Fail(ErrorCode::kInvalidArgument,
+                "listen.peers: is required when a platform is configured");
+  }
+  TRY_ASSIGN(const FleetConfiguration fleet, LoadFleet(settings));
+  BaselineDispatcher dispatcher(settings.placement_policy, 1);
+  return dispatcher.Apply(fleet);
+}
+
 }  // namespace
 
 int main(int argument_count, char** arguments) {
@@ -81,21 +157,14 @@
     PrintError(settings.error().ToString());
     return kExitUsage;
   }
-  auto fleet = LoadFleet(settings.value());
-  if (!fleet) {
-    PrintError(fleet.error().ToString());
-    return kExitUsage;
-  }
-  BaselineDispatcher dispatcher(settings.value().placement_policy,
-                                std::random_device()());
-  const Result<void> applied = dispatcher.Apply(fleet.value());
-  if (!applied) {
-    PrintError(applied.error().ToString());
+  const Result<void> checked = CheckConfiguration(settings.value());
+  if (checked.has_error()) {
+    PrintError(checked.error().ToString());
     return kExitUsage;
   }
   if (line.value().action == CommandLine::Action::kCheckConfiguration) {
     std::puts("configuration is valid");
     return kExitSuccess;
   }
-  return RunHost(settings.value(), std::move(fleet).value(), dispatcher);
+  return RunHost(settings.value());
 }
--- a/Services/Entry/permit_dispatcher_peers.cc
+++ b/Services/Entry/permit_dispatcher_peers.cc
@@ -42,6 +42,30 @@
   return state;
 }
 
+// Messages and requests are built outside of coroutines: g++ 12 miscompiles
+// braced lists in expressions that wait.
+Json BorrowBody(const ServiceId& service, const RouterAction& action) {
+  return {{"service", service.value()},
+          {"borrow", action.borrow_id},
+          {"age_us",
+           std::chrono::duration_cast<std::chrono::microseconds>(action.age)
+               .count()},
+          {"over", action.agreement == AgreementClass::kOver},
+          {"suspect", action.is_suspect}};
+}
+
+Json RefusedBorrow() { return {{"lent", false}}; }
+
+Json LentBorrow(const ServerId& server, std::uint32_t slot,
+                std::uint32_t free_hint) {
+  return {{"lent", true},
+          {"server", server.value()},
+          {"slot", slot},
+          {"free", free_hint}};
+}
+
+HttpRequest HealthRequest() { return {.target = "/health"}; }
+
 // The permit of a message; its server is kNoIndex when this host does not know
 // it.
 Permit PermitOf(const ServiceRouter& router, const Json& body) {
@@ -203,16 +227,9 @@
                                                    HostId to,
                                                    RouterAction action) {
   borrows_sent_.Add();
-  const Duration age = action.age;
-  const Json body = {
-      {"service", placement.id.value()},
-      {"borrow", action.borrow_id},
-      {"age_us",
-       std::chrono::duration_cast<std::chrono::microseconds>(age).count()},
-      {"over", action.agreement == AgreementClass::kOver},
-      {"suspect", action.is_suspect}};
-  const auto answer =
-      co_await peers_->Call(to, "borrow", body, options_.router.grant_validity);
+  Json body = BorrowBody(placement.id, action);
+  const auto answer = co_await peers_->Call(to, "borrow", std::move(body),
+                                            options_.router.grant_validity);
   const std::scoped_lock lock(placement.mutex);
   RouterActions actions;
   const TimePoint now = MonotonicNow();
@@ -276,14 +293,11 @@
   });
   if (!is_known) {
     borrow_answers_.erase({from, id});
-    co_return Json{{"lent", false}};
+    co_return RefusedBorrow();
   }
   co_await answer->signal.Wait();
-  if (!answer->is_lent) co_return Json{{"lent", false}};
-  co_return Json{{"lent", true},
-                 {"server", answer->server.value()},
-                 {"slot", answer->slot},
-                 {"free", answer->free_hint}};
+  if (!answer->is_lent) co_return RefusedBorrow();
+  co_return LentBorrow(answer->server, answer->slot, answer->free_hint);
 }
 
 void PermitDispatcher::RegisterHandlers() {
@@ -433,8 +447,7 @@
   probes_sent_.Add();
   HttpClient client(control_, endpoint);
   const TimePoint start = MonotonicNow();
-  const auto response =
-      co_await client.Send({.target = "/health"}, kProbeTimeout);
+  const auto response = co_await client.Send(HealthRequest(), kProbeTimeout);
   RouterObservation observation;
   observation.result = RouterObservation::Result::kConnectFailed;
   observation.latency = MonotonicNow() - start;
--- a/Tests/Services/Entry/entry_fixture.h
+++ b/Tests/Services/Entry/entry_fixture.h
@@ -224,6 +224,7 @@
                                        EntryParts{.dispatcher = dispatcher,
                                                   .log = *log_,
                                                   .metrics = metrics,
+                                                  .control = control,
                                                   .claims = options.claims,
                                                   .usage = &usage});
     VERIFY(host->Start().has_value());
@@ -242,6 +243,7 @@
   RecordingDispatcher dispatcher;
   RecordingUsage usage;
   MetricsRegistry metrics;
+  boost::asio::io_context control{1};
   std::unique_ptr<EntryHost> host;
 
  private:
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -59,6 +59,15 @@
 JSON
 }
 
+# The settings of an entry host that belongs to a fleet.
+fleet_write_fleet_entry() { fleet_write_entry_settings "$1" ', "platform": "127.0.3.1:9000"'; }
+
+# dogwood-ctl against entry host 1 (or FLEET_OPERATOR_HOST).
+fleet_ctl() {
+  "$BIN/dogwood-ctl" --address "127.0.1.${FLEET_OPERATOR_HOST:-1}:8200" \
+    --token-file "$FLEET_FOLDER/operator.token" "$@"
+}
+
 declare -A FLEET_ENTRY_PID
 fleet_start_entry() {
   "$BIN/dogwood-entry" --config "$FLEET_FOLDER/host-$1.json" >> "$FLEET_FOLDER/host-$1.log" 2>&1 &
@@ -77,6 +86,11 @@
 # Ends every process that these functions started, by its id.
 fleet_stop() {
   local pid
+  # Entry hosts first: they write their usage while the platform is still there.
+  for pid in "${FLEET_ENTRY_PID[@]}"; do kill "$pid" 2> /dev/null || true; done
+  for pid in "${FLEET_ENTRY_PID[@]}"; do
+    for _ in $(seq 100); do kill -0 "$pid" 2> /dev/null || break; sleep 0.05; done
+  done
   for pid in "${fleet_pids[@]}"; do kill "$pid" 2> /dev/null || true; done
   for pid in "${fleet_pids[@]}"; do
     for _ in $(seq 60); do kill -0 "$pid" 2> /dev/null || break; sleep 0.05; done
@@ -84,4 +98,34 @@
   done
   wait 2> /dev/null || true
   fleet_pids=()
+  FLEET_ENTRY_PID=()
+}
+
+# fleet_setup HOSTS: platform, HOSTS entry hosts and the operator token.
+fleet_setup() {
+  local i
+  echo "loopback-operator-token" > "$FLEET_FOLDER/operator.token"
+  fleet_start_platform
+  for ((i = 1; i <= $1; i++)); do
+    fleet_write_fleet_entry "$i"
+    fleet_start_entry "$i"
+  done
+  for ((i = 1; i <= $1; i++)); do fleet_wait_for fleet_is_serving "$i"; done
+}
+
+# fleet_configure "SERVICE NUMBER COUNT SLOTS;..." "PARTY SERVICE RATE MONTH;...": availability
+# zones, services and agreements through the operators' interface; returns when all hosts have it.
+fleet_configure() {
+  local zone service party fields
+  for zone in "${FLEET_ZONES[@]}"; do fleet_ctl zone add "$zone" > /dev/null; done
+  while IFS= read -r -d ';' service; do
+    read -r -a fields <<< "$service"
+    fleet_ctl settings set "services.${fields[0]}" \
+      "{\"servers\":$(fleet_servers "${fields[1]}" "${fields[0]}" "${fields[2]}" "${fields[3]}")}" > /dev/null
+  done <<< "$1;"
+  while IFS= read -r -d ';' party; do
+    read -r -a fields <<< "$party"
+    fleet_ctl party add "${fields[0]}" > /dev/null 2>&1 || true
+    fleet_ctl --wait agreement set "${fields[0]}" "${fields[1]}" "${fields[2]}" "${fields[3]}" > /dev/null
+  done <<< "$2;"
 }
