--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,48 +1,48 @@
 #!/usr/bin/env bash
 # Builds and runs the main job on loopback addresses: 3 availability zones, 6 entry hosts, the
-# tracking and proofs services, load, faults, and a report at the end. Ends by itself.
+# tracking and proofs services, load, a zone out and in, a cold and a crashed backend server, and a
+# report at the end. Ends by itself.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/packages.sh
-scripts/build.sh dogwood-entry dogwood-load dogwood-timeline standin-backend | tail -n 1
+scripts/build.sh dogwood-entry dogwood-ctl dogwood-load dogwood-timeline standin-backend standin-platform | tail -n 1
 BIN=build/bin
 FLEET_FOLDER=$(mktemp -d "${TMPDIR:-/tmp}/dogwood-demo.XXXXXX")
 . scripts/fleet.sh
 trap 'fleet_stop; rm -rf "$FLEET_FOLDER"' EXIT
 
 hosts=6
-echo "[1/4] starting backend servers and $hosts entry hosts"
-echo "demo-token" > "$FLEET_FOLDER/operator.token"
-cat > "$FLEET_FOLDER/fleet.json" <<JSON
-{"services": {
-   "tracking": {"servers": $(fleet_servers 1 tracking 30 6)},
-   "proofs": {"servers": $(fleet_servers 2 proofs 6 6)}},
- "zones": {"palermo": {}, "catania": {}, "messina": {}},
- "parties": {"lesta": {"agreements": {"tracking": {"calls_per_second": 1500, "calls_per_month": 100000000}}},
-             "khangai": {"agreements": {"tracking": {"calls_per_second": 500}, "proofs": {"calls_per_second": 200}}}}}
-JSON
-fleet_start_backends 1 tracking 30 --slow-percent 20
+seconds=20
+echo "[1/5] starting the platform stand-in, 36 backend servers and $hosts entry hosts"
+fleet_start_backends 1 tracking 30
 fleet_start_backends 2 proofs 6
-for ((i = 1; i <= hosts; i++)); do
-  fleet_write_entry_settings "$i" ", \"fleet_file\": \"$FLEET_FOLDER/fleet.json\""
-  fleet_start_entry "$i"
-done
-for ((i = 1; i <= hosts; i++)); do fleet_wait_for fleet_is_serving "$i"; done
+fleet_setup $hosts
+echo "[2/5] creating zones, services, parties and agreements"
+fleet_configure "tracking 1 30 6;proofs 2 6 6" \
+  "lesta tracking 1500 100000000;khangai tracking 500 20000000;khangai proofs 200 5000000"
 
-echo "[2/4] load for 15 s; a backend server turns cold at 5 s, another crashes at 8 s"
-"$BIN/dogwood-load" --targets "$(fleet_targets $hosts)" --seconds 15 --seed 1 \
+echo "[3/5] load for $seconds s: tracking-5 turns cold at 4 s, tracking-8 crashes at 7 s,"
+echo "      availability zone catania is out from 10 s to 14 s"
+"$BIN/dogwood-load" --targets "$(fleet_targets $hosts)" --seconds $seconds --seed 1 \
   --stream service=tracking,party=lesta,rate=1500 \
   --stream service=tracking,party=khangai,rate=400 \
-  --stream service=proofs,party=khangai,rate=150 > "$FLEET_FOLDER/report.txt" 2> "$FLEET_FOLDER/load.log" &
+  --stream service=proofs,party=khangai,rate=120,method=POST,keys=yes,body=2000 \
+  > "$FLEET_FOLDER/report.txt" 2> "$FLEET_FOLDER/load.log" &
 load=$!
 fleet_pids+=("$load")
-sleep 5
+sleep 4
 curl -sf -X POST "http://127.0.2.1:7000/control?server=4&action=cold" > /dev/null
 sleep 3
 curl -sf -X POST "http://127.0.2.1:7000/control?server=7&action=crash" > /dev/null
+sleep 3
+fleet_ctl --wait zone out catania > /dev/null
+sleep 4
+fleet_ctl --wait zone in catania > /dev/null
 wait "$load"
+sleep 2.5 # the hosts write their usage every 2 s
 
-echo "[3/4] report"
+echo "[4/5] report: latency, outcomes, and use against the agreements"
 cat "$FLEET_FOLDER/report.txt"
-echo "[4/4] main events"
-"$BIN/dogwood-timeline" --from 1000 --to 1999 "$FLEET_FOLDER"/*.events | head -n 20
+curl -sf -H "Authorization: Bearer $(cat "$FLEET_FOLDER/operator.token")" http://127.0.1.1:8200/v1/usage
+echo "[5/5] main events (settings 5000-5999, server and member changes 3000-4999)"
+"$BIN/dogwood-timeline" --from 3000 --to 5999 "$FLEET_FOLDER"/*.events | head -n 25
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -117,15 +117,15 @@
 # zones, services and agreements through the operators' interface; returns when all hosts have it.
 fleet_configure() {
   local zone service party fields
-  for zone in "${FLEET_ZONES[@]}"; do fleet_ctl zone add "$zone" > /dev/null; done
+  for zone in "${FLEET_ZONES[@]}"; do fleet_ctl zone add "$zone" > /dev/null 2>&1; done
   while IFS= read -r -d ';' service; do
     read -r -a fields <<< "$service"
     fleet_ctl settings set "services.${fields[0]}" \
-      "{\"servers\":$(fleet_servers "${fields[1]}" "${fields[0]}" "${fields[2]}" "${fields[3]}")}" > /dev/null
+      "{\"servers\":$(fleet_servers "${fields[1]}" "${fields[0]}" "${fields[2]}" "${fields[3]}")}" > /dev/null 2>&1
   done <<< "$1;"
   while IFS= read -r -d ';' party; do
     read -r -a fields <<< "$party"
     fleet_ctl party add "${fields[0]}" > /dev/null 2>&1 || true
-    fleet_ctl --wait agreement set "${fields[0]}" "${fields[1]}" "${fields[2]}" "${fields[3]}" > /dev/null
+    fleet_ctl --wait agreement set "${fields[0]}" "${fields[1]}" "${fields[2]}" "${fields[3]}" > /dev/null 2>&1
   done <<< "$2;"
 }
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build needs; does nothing when all are there.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache clang clang-format clang-tidy libclang-rt-14-dev curl
+packages=(g++ cmake ninja-build ccache clang clang-format clang-tidy libclang-rt-14-dev curl jq
   libboost1.81-dev libspdlog-dev doctest-dev librapidcheck-dev libnghttp2-dev libssl-dev
   nlohmann-json3-dev libxxhash-dev)
 missing=()
