Routing: Count two requests on one slot as two slots

Cause: after a false removal, old work of the returning host and work of the host that had taken over could run on one slot; the returning host then counted one slot for both. Change: each slot that is in use here and elsewhere costs a free slot.

--- a/Libraries/Routing/permit_table.cc
+++ b/Libraries/Routing/permit_table.cc
@@ -61,8 +61,14 @@
 }
 
 std::uint64_t PermitTable::ComputeFreeMask(const Server& server) const {
-  return server.ready & ~server.in_use & ~server.elsewhere & RoomMask(server) &
-         LowBits(server.usable);
+  std::uint64_t mask = server.ready & ~server.in_use & ~server.elsewhere &
+                       RoomMask(server) & LowBits(server.usable);
+  // Two requests may run on one slot while a third slot is idle, when a host
+  // took over a slot whose old work had not ended and then gave it back. Each
+  // such slot costs a free one.
+  int shared = std::popcount(server.in_use & server.elsewhere);
+  for (; shared > 0 && mask != 0; --shared) mask &= mask - 1;
+  return mask;
 }
 
 void PermitTable::Refresh(ServerIndex server) {
--- /dev/null
+++ b/Tests/Libraries/Routing/permit_table_test.cc
@@ -0,0 +1,183 @@
+#include "Libraries/Routing/permit_table.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+#include "Libraries/Routing/rendezvous.h"
+
+namespace dogwood {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Table {
+  explicit Table(std::uint32_t slots) : permits(options) {
+    permits.AddServer(NameHash("server"), slots);
+    permits.SetUsable(0, slots);
+  }
+  void Apply(std::vector<HostIndex> alive) {
+    permits.ApplyHosts(hashes, alive, 0, now, handovers);
+  }
+  void Pass(Duration time) {
+    now += time;
+    permits.Advance(now);
+  }
+
+  RouterOptions options;
+  PermitTable permits;
+  std::vector<std::uint64_t> hashes{NameHash("a"), NameHash("b"),
+                                    NameHash("c")};
+  std::vector<PermitTable::Handover> handovers;
+  TimePoint now{};
+};
+
+// Guards against a slot counted once although old work of this host and work of
+// a host that gives the slot back run on it.
+TEST_CASE("Two requests on one slot cost a second slot") {
+  Table table(6);
+  table.Apply({0});
+  table.Pass(seconds(2));
+  CHECK(table.permits.free_permits() == 6);
+  const std::uint32_t slot = table.permits.Take(0);
+  CHECK(table.permits.free_permits() == 5);
+  table.permits.SetBusyElsewhere(0, slot, 1);
+  CHECK(table.permits.free_permits() == 4);
+  table.permits.ClearBusyElsewhere(0, slot, 1);
+  CHECK(table.permits.free_permits() == 5);
+}
+
+// Guards against late release and early use when the view changes.
+TEST_CASE("Slots are released at once and acquired late") {
+  Table table(60);
+  table.Apply({0, 1});
+  table.Pass(seconds(2));
+  const std::uint32_t with_one_peer = table.permits.free_permits();
+  CHECK(with_one_peer > 15);
+  CHECK(with_one_peer < 45);
+  table.Apply({0, 1, 2});
+  const std::uint32_t with_two_peers = table.permits.free_permits();
+  CHECK(with_two_peers < with_one_peer);
+  // Host 2 never acted; its slots count as those of a vanished host.
+  table.Apply({0, 1});
+  table.Pass(milliseconds(1499));
+  CHECK(table.permits.free_permits() == with_two_peers);
+  table.Pass(milliseconds(1));
+  CHECK(table.permits.free_permits() == with_two_peers);
+  table.permits.ReportInWork(0, 0, table.now);
+  CHECK(table.permits.free_permits() == with_one_peer);
+}
+
+// Guards against use of slots of a vanished host before its work has ended.
+TEST_CASE("Slots of a vanished host need room") {
+  Table table(60);
+  table.Apply({0, 1, 2});
+  table.Pass(seconds(2));
+  const std::uint32_t before = table.permits.free_permits();
+  table.Apply({0, 1});
+  table.Pass(milliseconds(1500));
+  CHECK(table.permits.free_permits() == before);
+  table.permits.ReportInWork(0, 40, table.now);
+  CHECK(table.permits.free_permits() == before);
+  table.permits.ReportInWork(0, 2, table.now);
+  CHECK(table.permits.free_permits() > before);
+  table.Pass(table.options.room_check_limit);
+  const std::uint32_t after = table.permits.free_permits();
+  CHECK(after == table.permits.owned_permits());
+}
+
+// Guards against slots that no live host or more than one live host owns.
+TEST_CASE("Every host computes the same single owner of each slot") {
+  CHECK(rc::check([](std::uint64_t seed) {
+    std::vector<std::uint64_t> hashes;
+    std::vector<HostIndex> alive;
+    for (HostIndex host = 0; host < 5; ++host) {
+      hashes.push_back(MixHashes(seed, host));
+      if (MixHashes(seed, 100 + host) % 3 != 0) alive.push_back(host);
+    }
+    RC_PRE(!alive.empty());
+    RouterOptions options;
+    std::uint32_t owned = 0;
+    std::vector<PermitTable::Handover> handovers;
+    for (const HostIndex self : alive) {
+      PermitTable table(options);
+      for (std::uint64_t server = 0; server < 4; ++server) {
+        table.AddServer(MixHashes(server, seed), 6);
+        table.SetUsable(static_cast<ServerIndex>(server), 6);
+      }
+      table.ApplyHosts(hashes, alive, self, TimePoint{}, handovers);
+      owned += table.owned_permits();
+    }
+    RC_ASSERT(owned == 24U);
+  }));
+}
+
+// Guards against a heap of free servers that departs from the stated order.
+TEST_CASE("The best free server is that of a naive search") {
+  CHECK(rc::check([] {
+    RouterOptions options;
+    PermitTable table(options);
+    constexpr ServerIndex kServers = 7;
+    std::vector<double> scores(kServers, 0);
+    std::vector<std::vector<std::uint32_t>> taken(kServers);
+    std::vector<std::uint32_t> usable(kServers, 4);
+    for (ServerIndex server = 0; server < kServers; ++server) {
+      table.AddServer(server, 4);
+      table.SetUsable(server, 4);
+    }
+    std::vector<PermitTable::Handover> handovers;
+    table.ApplyHosts({1}, {0}, 0, TimePoint{}, handovers);
+    table.Advance(TimePoint{} + seconds(2));
+    const auto free = [&](ServerIndex server) {
+      std::uint32_t count = 0;
+      for (std::uint32_t slot = 0; slot < usable[server]; ++slot) {
+        count += table.is_in_use(server, slot) ? 0 : 1;
+      }
+      return count;
+    };
+    const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
+        200, rc::gen::inRange<std::uint32_t>(0, 10000));
+    for (const std::uint32_t step : steps) {
+      const ServerIndex server = step % kServers;
+      const std::uint32_t value = step / kServers % 5;
+      switch (step % 4) {
+        case 0:
+          scores[server] = value;
+          table.SetScore(server, value);
+          break;
+        case 1:
+          if (!taken[server].empty()) {
+            table.Release(server, taken[server].back());
+            taken[server].pop_back();
+          }
+          break;
+        case 2:
+          usable[server] = value;
+          table.SetUsable(server, value);
+          break;
+        default:
+          if (table.best() != kNoIndex) {
+            const ServerIndex best = table.best();
+            taken[best].push_back(table.Take(best));
+            RC_ASSERT(taken[best].back() < usable[best]);
+          }
+      }
+      std::uint32_t total = 0;
+      const ServerIndex best = table.best();
+      for (ServerIndex other = 0; other < kServers; ++other) {
+        total += free(other);
+        if (free(other) == 0) continue;
+        RC_ASSERT(best != kNoIndex);
+        RC_ASSERT(std::pair(scores[best], 64 - free(best)) <=
+                  std::pair(scores[other], 64 - free(other)));
+      }
+      RC_ASSERT(table.free_permits() == total);
+      RC_ASSERT((best == kNoIndex) == (total == 0));
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace dogwood
