Entry: Write without a coroutine when the socket has room

Cause: a profile of GET over 32 connections shows 14.5% of the time in malloc, free and memmove; Asio keeps two recycled frames per thread.

--- a/Services/Entry/caller_session.cc
+++ b/Services/Entry/caller_session.cc
@@ -110,8 +110,8 @@
   WriteOwnAnswer(memory_.head, answer, id, ConnectionUse::kClose, 11,
                  parser_.head().method == "HEAD");
   std::array buffers{asio::const_buffer(asio::buffer(memory_.head))};
-  std::size_t written = 0;
-  co_await WriteAll(caller_.socket(), buffers, written);
+  PendingWrite write{.buffers = buffers};
+  co_await WriteAll(caller_.socket(), write);
 }
 
 asio::awaitable<void> CallerSession::Linger() {
--- a/Services/Entry/request_exchange.cc
+++ b/Services/Entry/request_exchange.cc
@@ -80,7 +80,8 @@
   plan_.attributes.fingerprint =
       FingerprintOf(plan_.attributes, parser_.head(), memory_.body);
   if (parser_.is_complete()) WatchCaller();
-  std::optional<OwnAnswer> claim_answer = co_await Claim();
+  std::optional<OwnAnswer> claim_answer;
+  if (needs_claim()) claim_answer = co_await Claim();
   if (claim_answer) co_return co_await Answer(std::move(*claim_answer));
   const After after = co_await RunAttempts();
   co_return after;
@@ -112,13 +113,14 @@
   caller_.ReadAhead(owner_, [this] { Abort(Cause::kCallerLeft); });
 }
 
+bool RequestExchange::needs_claim() const {
+  return context_.shared.claims != nullptr && !is_repeatable() &&
+         plan_.attributes.idempotency_key.has_value();
+}
+
 asio::awaitable<std::optional<OwnAnswer>> RequestExchange::Claim() {
-  ClaimService* claims = context_.shared.claims;
-  if (claims == nullptr || is_repeatable() ||
-      !plan_.attributes.idempotency_key) {
-    co_return std::nullopt;
-  }
-  const ClaimDecision decision = co_await claims->Claim(plan_.attributes);
+  const ClaimDecision decision =
+      co_await context_.shared.claims->Claim(plan_.attributes);
   switch (decision.kind) {
     case ClaimDecision::Kind::kGranted:
       has_claim_ = true;
@@ -224,15 +226,22 @@
     memory_.attempt.Process(AttemptEvent::kCancelled);
     co_return;
   }
-  const bool is_connected = co_await Connect(grant);
-  if (!is_connected) co_return;
+  connection_ =
+      context_.shared.pool.TryTake(context_.worker, context_.executor, grant);
+  if (connection_ && connection_->is_connected()) {
+    memory_.attempt.Process(AttemptEvent::kConnected);
+  } else {
+    const bool is_connected = co_await Connect(grant);
+    if (!is_connected) co_return;
+  }
   const bool is_sent = co_await SendRequest();
   if (!is_sent) co_return;
   const bool has_response = co_await ReadResponseHead();
   if (has_response) co_await Deliver(grant);
-  co_await StopUpload();
+  if (upload_ == UploadState::kRunning) co_await StopUpload();
 }
 
+// Waits for a connection if there is none and opens it if it is new.
 asio::awaitable<bool> RequestExchange::Connect(const DispatchGrant& grant) {
   BackendPool& pool = context_.shared.pool;
   connection_ = pool.TryTake(context_.worker, context_.executor, grant);
@@ -342,9 +351,9 @@
   WriteOwnAnswer(memory_.head, answer, id_, use, parser_.head().version,
                  parser_.head().method == "HEAD");
   std::array buffers{asio::const_buffer(asio::buffer(memory_.head))};
-  std::size_t written = 0;
-  const auto error = co_await WriteAll(caller_.socket(), buffers, written);
-  if (error) co_return After::kClose;
+  PendingWrite write{.buffers = buffers};
+  co_await WriteAll(caller_.socket(), write);
+  if (write.error) co_return After::kClose;
   co_return use == ConnectionUse::kKeepAlive ? After::kKeepAlive
                                              : After::kLinger;
 }
--- a/Services/Entry/request_exchange.h
+++ b/Services/Entry/request_exchange.h
@@ -60,6 +60,7 @@
   enum class UploadState { kNone, kRunning, kFinished, kBroken };
 
   boost::asio::awaitable<bool> BufferBody();
+  bool needs_claim() const;
   boost::asio::awaitable<std::optional<OwnAnswer>> Claim();
   boost::asio::awaitable<After> RunAttempts();
   boost::asio::awaitable<void> RunAttempt(const DispatchGrant& grant);
--- a/Services/Entry/request_transfer.cc
+++ b/Services/Entry/request_transfer.cc
@@ -88,16 +88,16 @@
   GatherList list;
   list.Add(memory_.head);
   list.AddPiece(buffered, request_framing_.framing);
-  std::size_t written = 0;
-  const auto error =
-      co_await WriteAll(connection_->socket(), list.buffers(), written);
-  if (written == 0) {
+  PendingWrite write{.buffers = list.buffers()};
+  const bool is_done = TryWriteAll(connection_->socket(), write);
+  if (!is_done) co_await WriteAll(connection_->socket(), write);
+  if (write.written == 0) {
     Fail(AttemptEvent::kWriteFailed, "connection-lost");
     co_return false;
   }
   memory_.attempt.Process(AttemptEvent::kBytesSent);
   // A response may precede the error, so it is read in any case.
-  if (!is_whole && !error) {
+  if (!is_whole && !write.error) {
     upload_ = UploadState::kRunning;
     asio::co_spawn(context_.executor, Upload(), asio::detached);
   }
@@ -109,12 +109,12 @@
   const std::shared_ptr<void> owner = owner_;
   UploadState end = UploadState::kBroken;
   bool can_read = true;
-  std::size_t written = 0;
   if (plan_.expects_continue && !has_response_begun_ &&
       caller_.input().empty()) {
     std::array buffers{asio::const_buffer(asio::buffer(kContinue))};
-    const auto error = co_await WriteAll(caller_.socket(), buffers, written);
-    can_read = !error;
+    PendingWrite write{.buffers = buffers};
+    co_await WriteAll(caller_.socket(), write);
+    can_read = !write.error;
   }
   CallerBody reader(caller_, parser_);
   while (can_read && !is_stopping_upload_ && cause_ == Cause::kNone) {
@@ -128,9 +128,10 @@
     request_bytes_ += piece.size_bytes;
     GatherList list;
     list.AddPiece(piece, request_framing_.framing);
-    const auto error =
-        co_await WriteAll(connection_->socket(), list.buffers(), written);
-    if (error) break;
+    PendingWrite write{.buffers = list.buffers()};
+    const bool is_done = TryWriteAll(connection_->socket(), write);
+    if (!is_done) co_await WriteAll(connection_->socket(), write);
+    if (write.error) break;
     if (piece.is_last) {
       end = UploadState::kFinished;
       break;
@@ -266,10 +267,10 @@
       is_first = false;
     }
     list.AddPiece(piece, body_framing);
-    std::size_t written = 0;
-    const auto error =
-        co_await WriteAll(caller_.socket(), list.buffers(), written);
-    if (error) {
+    PendingWrite write{.buffers = list.buffers()};
+    const bool is_done = TryWriteAll(caller_.socket(), write);
+    if (!is_done) co_await WriteAll(caller_.socket(), write);
+    if (write.error) {
       if (cause_ == Cause::kNone) cause_ = Cause::kCallerLeft;
       Fail(AttemptEvent::kCancelled, "caller-left");
       co_return;
--- a/Services/Entry/socket_io.cc
+++ b/Services/Entry/socket_io.cc
@@ -7,27 +7,46 @@
 
 namespace asio = boost::asio;
 
-asio::awaitable<boost::system::error_code> WriteAll(
-    asio::ip::tcp::socket& socket, std::span<asio::const_buffer> buffers,
-    std::size_t& written) {
-  written = 0;
-  boost::system::error_code error;
-  while (true) {
-    while (!buffers.empty() && buffers.front().size() == 0)
-      buffers = buffers.subspan(1);
-    if (buffers.empty()) co_return boost::system::error_code();
-    std::size_t count = socket.write_some(buffers, error);
-    if (error == asio::error::would_block) {
-      std::tie(error, count) = co_await socket.async_write_some(
-          buffers, asio::as_tuple(asio::use_awaitable));
+namespace {
+
+void Advance(PendingWrite& write, std::size_t count) {
+  write.written += count;
+  while (!write.buffers.empty()) {
+    asio::const_buffer& front = write.buffers.front();
+    const std::size_t taken = std::min(count, front.size());
+    front += taken;
+    count -= taken;
+    if (front.size() > 0) return;
+    write.buffers = write.buffers.subspan(1);
+  }
+}
+
+}  // namespace
+
+bool TryWriteAll(asio::ip::tcp::socket& socket, PendingWrite& write) {
+  Advance(write, 0);
+  while (!write.buffers.empty()) {
+    boost::system::error_code error;
+    const std::size_t count = socket.write_some(write.buffers, error);
+    if (error == asio::error::would_block) return false;
+    if (error) {
+      write.error = error;
+      return true;
     }
-    if (error) co_return error;
-    written += count;
-    for (asio::const_buffer& buffer : buffers) {
-      const std::size_t taken = std::min(count, buffer.size());
-      buffer += taken;
-      count -= taken;
-      if (count == 0) break;
+    Advance(write, count);
+  }
+  return true;
+}
+
+asio::awaitable<void> WriteAll(asio::ip::tcp::socket& socket,
+                               PendingWrite& write) {
+  while (!TryWriteAll(socket, write)) {
+    const auto [error, count] = co_await socket.async_write_some(
+        write.buffers, asio::as_tuple(asio::use_awaitable));
+    Advance(write, count);
+    if (error) {
+      write.error = error;
+      co_return;
     }
   }
 }
