Membership: Test the suspicion timeout, pauses, accusations and digests

Cause: trials with planted faults on a scratch copy showed that four rules could be dropped without a failing test: the pause guard, the suspicion timeout, the accused record at the head of a ping, and the records sent on a differing digest. Change: one test for each.

--- a/Tests/Libraries/Membership/membership_test.cc
+++ b/Tests/Libraries/Membership/membership_test.cc
@@ -211,6 +211,70 @@
   CHECK(table.contains(HostId("other")));
 }
 
+TEST_CASE("A suspect has the whole suspicion timeout to refute") {
+  MemberTable table = TableOf("self");
+  for (int i = 0; i < 62; ++i)
+    Tell(table, RecordOf("host-" + std::to_string(i)));
+  CHECK(table.suspicion_timeout() == std::chrono::milliseconds(3 * 6 * 250));
+  Tell(table, RecordOf("host-7", 5, RumourState::kSuspect));
+  const TimePoint end = kStart + table.suspicion_timeout();
+  for (TimePoint now = kStart; now < end; now += std::chrono::milliseconds(250))
+    table.Tick(now);
+  CHECK(table.contains(HostId("host-7")));
+  table.Tick(end);
+  CHECK_FALSE(table.contains(HostId("host-7")));
+}
+
+// Guards against a stopped process that blames others for its own silence.
+TEST_CASE("After a pause no timeout from before it counts") {
+  MemberTable table = TableOf("self");
+  Tell(table, RecordOf("pinged"));
+  Tell(table, RecordOf("accused", 5, RumourState::kSuspect));
+  const MemberTable::Target target{.host = HostId("pinged"),
+                                   .peer_address = "10.0.0.1:7000",
+                                   .incarnation = Incarnation(5)};
+  const TimePoint resumed = kStart + seconds(30);
+  table.HandleNoAnswer(target, kStart, resumed);
+  CHECK_FALSE(table.RecordOf(HostId("pinged"))->is_suspect());
+  table.Tick(resumed);
+  CHECK(table.contains(HostId("accused")));
+  table.HandleNoAnswer(target, resumed, resumed);
+  CHECK(table.RecordOf(HostId("pinged"))->is_suspect());
+}
+
+// Guards against a suspect that learns too late what to refute.
+TEST_CASE(
+    "A ping to a suspect or removed host begins with what is held against it") {
+  MemberTable table = TableOf("self");
+  Tell(table, RecordOf("accused", 5, RumourState::kSuspect));
+  for (int i = 0; i < 100; ++i)
+    Tell(table, RecordOf("host-" + std::to_string(i)));
+  CHECK(table.MakePing(HostId("accused"), kStart).changes.front() ==
+        RecordOf("accused", 5, RumourState::kSuspect));
+  LetExpire(table);
+  CHECK(
+      table.MakePing(HostId("accused"), kStart + seconds(18)).changes.front() ==
+      RecordOf("accused", 5, RumourState::kRemoved));
+}
+
+// Guards against a change that is lost when all who knew it have told it often
+// enough.
+TEST_CASE("A differing digest brings members that no rumour tells any more") {
+  MemberTable table = TableOf("self");
+  Tell(table, RecordOf("known"));
+  Tell(table, RecordOf("missed"));
+  for (int i = 0; i < 100; ++i) table.MakePing(HostId("known"), kStart);
+  REQUIRE(table.MakePing(HostId("known"), kStart).changes.empty());
+  Ping ping;
+  ping.digest = table.digest();
+  CHECK(table.HandlePing(HostId("known"), Incarnation(5), ping, kStart)
+            .changes.empty());
+  ++ping.digest;
+  CHECK(
+      table.HandlePing(HostId("known"), Incarnation(5), ping, kStart).changes ==
+      std::vector{RecordOf("missed")});
+}
+
 TEST_CASE("A host refutes what is said against it") {
   for (const RumourState state :
        {RumourState::kSuspect, RumourState::kRemoved}) {
