Entry: Test the settings service with a history checker

Cause: acceptance, spreading and emergency orders had no tests. Change: in-memory fleet with partitions, lost, late and stale answers, outages and restarts; a checker over the chain's rows, tested on planted violations.

--- /dev/null
+++ b/Tests/Services/Entry/settings_history.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Services/Entry/settings_rows.h"
+
+namespace dogwood {
+
+// What operators and hosts saw of the settings chain, to be compared with the
+// rows of the store.
+struct SettingsHistory {
+  enum class Answer {
+    kAccepted,
+    kRefused,      // conflict, invalid or not accepted
+    kProvisional,  // emergency order
+    kUnknown,
+  };
+  struct Operation {
+    std::string id;
+    std::string path;
+    nlohmann::json value;
+    Answer answer = Answer::kUnknown;
+    std::uint64_t version = 0;  // when accepted
+  };
+
+  std::vector<Operation> operations;
+  // Versions each running host had in force, in the order seen.
+  std::map<std::string, std::vector<std::uint64_t>> host_versions;
+
+  // Violations of: every accepted change is in the chain exactly once as
+  // answered, no refused one is, unknown ones at most once, provisional ones
+  // exactly once or recorded as superseded, versions have no gap, no host goes
+  // back. `rows` are the newest rows of the store.
+  std::vector<std::string> Check(
+      const std::map<std::string, TableRow>& rows) const {
+    std::vector<std::string> violations;
+    const auto head = rows.find(kHeadKey);
+    const std::uint64_t newest = head == rows.end() ? 0 : head->second.version;
+    std::map<std::string, std::vector<SettingsChange>> changes;
+    std::uint64_t expected = 1;
+    for (const auto& [key, row] : rows) {
+      if (!key.starts_with(kChangePrefix)) continue;
+      const auto change = SettingsChange::FromJson(ParseRow(row.value));
+      if (!change || change.value().version.value() != expected++ ||
+          row.version != 1) {
+        violations.push_back("row " + key +
+                             " is malformed, out of sequence "
+                             "or was written twice");
+        continue;
+      }
+      changes[change.value().id.value()].push_back(change.value());
+    }
+    if (expected != newest + 1)
+      violations.push_back("the head does not match the changes");
+    for (const Operation& operation : operations)
+      CheckOperation(operation, changes[operation.id], rows, violations);
+    for (const auto& [host, versions] : host_versions) {
+      if (!std::is_sorted(versions.begin(), versions.end()))
+        violations.push_back("host " + host + " went back");
+      if (!versions.empty() && versions.back() > newest)
+        violations.push_back("host " + host + " is ahead of the store");
+    }
+    return violations;
+  }
+
+ private:
+  static void CheckOperation(const Operation& operation,
+                             const std::vector<SettingsChange>& found,
+                             const std::map<std::string, TableRow>& rows,
+                             std::vector<std::string>& violations) {
+    const auto add = [&](const char* what) {
+      violations.push_back("operation " + operation.id + " " + what);
+    };
+    if (found.size() > 1) add("is in the chain more than once");
+    if (!found.empty() &&
+        (found[0].path != operation.path || found[0].value != operation.value))
+      add("is in the chain with other content");
+    switch (operation.answer) {
+      case Answer::kAccepted:
+        if (found.empty())
+          add("was accepted and is missing");
+        else if (found[0].version.value() != operation.version)
+          add("was accepted with another version");
+        break;
+      case Answer::kRefused:
+        if (!found.empty()) add("was refused and is in the chain");
+        break;
+      case Answer::kProvisional: {
+        const auto row = rows.find(OperationKey(OperationId(operation.id)));
+        const bool is_superseded =
+            row != rows.end() &&
+            ParseRow(row->second.value).value("superseded", false);
+        if (found.empty() && !is_superseded)
+          add("was provisional and is neither written nor superseded");
+        if (!found.empty() && is_superseded)
+          add("is both written and superseded");
+        break;
+      }
+      case Answer::kUnknown:
+        break;
+    }
+  }
+};
+
+}  // namespace dogwood
--- /dev/null
+++ b/Tests/Services/Entry/settings_service_test.cc
@@ -0,0 +1,398 @@
+#include <doctest/doctest.h>
+
+#include "Tests/Services/Entry/settings_fleet.h"
+
+namespace dogwood {
+namespace {
+
+using Answer = SettingsHistory::Answer;
+using Fate = MemoryTableStore::Fate;
+
+void CheckNoViolations(const SettingsFleet& fleet) {
+  for (const std::string& violation : fleet.Violations()) FAIL_CHECK(violation);
+}
+
+// A fleet with two availability zones and one backend server.
+void SetUpZones(SettingsFleet& fleet) {
+  fleet.StartAll();
+  fleet.SubmitAndRun(0, "z1", "zones.palermo.limit", 0);
+  fleet.SubmitAndRun(0, "z2", "zones.catania.limit", 0);
+  fleet.SubmitAndRun(0, "s1", "services.tracking.servers.t1",
+                     {{"address", "127.0.0.1:7001"}, {"zone", "palermo"}});
+  fleet.network.Deliver();
+  fleet.RunAll();
+}
+
+// Guards against a lost change and against two changes with one version.
+TEST_CASE("Racing operators: each change is accepted once or refused") {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    SettingsFleet fleet(4, seed);
+    fleet.StartAll();
+    for (int i = 0; i < 20; ++i) {
+      const std::string key = i % 2 == 0 ? "queue_limit" : "cold_limit";
+      fleet.Submit(i % 4, "op" + std::to_string(i), "default." + key, i + 1);
+      if (i % 5 == 0) fleet.RunAll();
+    }
+    fleet.Settle();
+    CheckNoViolations(fleet);
+    CHECK(fleet.service(0).chain().version() > SettingsVersion(0));
+  }
+}
+
+TEST_CASE("A conflict tells both values and the later change stays") {
+  SettingsFleet fleet(2);
+  fleet.StartAll();
+  fleet.SubmitAndRun(0, "a", "default.queue_limit", 1);
+  // Host 1 has not heard of it and bases its change on version 0.
+  std::optional<Result<ChangeOutcome>> outcome;
+  boost::asio::co_spawn(
+      fleet.context,
+      [&]() -> boost::asio::awaitable<void> {
+        ChangeRequest request{
+            OperationId("b"), "default.queue_limit", 2, "", {}};
+        outcome.emplace(co_await fleet.service(1).Submit(std::move(request)));
+      },
+      boost::asio::detached);
+  fleet.RunAll();
+  REQUIRE(outcome);
+  REQUIRE(outcome->has_value());
+  const auto* conflict = std::get_if<ChangeConflict>(&outcome->value());
+  REQUIRE(conflict != nullptr);
+  CHECK(conflict->current == 1);
+  CHECK(conflict->wanted == 2);
+  CHECK(conflict->version == SettingsVersion(1));
+}
+
+// Guards against a repeated commit that applies twice and against an answer
+// that contradicts the store.
+TEST_CASE("A lost answer is resolved, whatever became of the commit") {
+  for (const Fate fate : {Fate::kLostAfterEffect, Fate::kLostWithoutEffect,
+                          Fate::kLostLateEffect}) {
+    for (const auto stale :
+         {std::chrono::seconds(0), std::chrono::seconds(1)}) {
+      SettingsFleet fleet(2);
+      fleet.StartAll();
+      fleet.store.memory.next_fate = fate;
+      fleet.store.memory.stale_reads = stale;
+      const auto first = fleet.SubmitAndRun(0, "a", "default.queue_limit", 1);
+      CHECK(first.answer == Answer::kAccepted);
+      fleet.store.memory.ApplyLate();
+      const auto repeated =
+          fleet.SubmitAndRun(1, "a", "default.queue_limit", 1);
+      CHECK(repeated.answer == Answer::kAccepted);
+      CHECK(repeated.version == 1);
+      fleet.Settle();
+      CheckNoViolations(fleet);
+    }
+  }
+}
+
+// Guards against a change that is called refused although it took effect.
+TEST_CASE("A lost answer before an outage is unknown until it is repeated") {
+  SettingsFleet fleet(1);
+  fleet.StartAll();
+  fleet.store.memory.next_fate = Fate::kLostLateEffect;
+  fleet.Submit(0, "a", "default.queue_limit", 1);
+  while (fleet.store.memory.late.empty()) {
+    fleet.context.restart();
+    fleet.context.poll_one();
+  }
+  fleet.store.memory.is_down = true;
+  fleet.RunAll();
+  CHECK(fleet.history.operations[0].answer == Answer::kUnknown);
+  fleet.store.memory.ApplyLate();
+  fleet.store.memory.is_down = false;
+  CHECK(fleet.SubmitAndRun(0, "a", "default.queue_limit", 1).version == 1);
+  fleet.Settle();
+  CheckNoViolations(fleet);
+}
+
+TEST_CASE("Store down: changes are refused, emergency orders are provisional") {
+  SettingsFleet fleet(3);
+  SetUpZones(fleet);
+  fleet.store.memory.is_down = true;
+  CHECK(fleet.SubmitAndRun(0, "a", "default.queue_limit", 1).answer ==
+        Answer::kRefused);
+  CHECK(fleet.SubmitAndRun(1, "o", "zones.palermo.state", "out").answer ==
+        Answer::kProvisional);
+  CHECK(
+      fleet
+          .SubmitAndRun(2, "p", "services.tracking.servers.t1.state", "leaving")
+          .answer == Answer::kProvisional);
+  fleet.network.Deliver();
+  fleet.RunAll();
+  for (const auto& host : fleet.hosts) {
+    CHECK(host->published->zones.at(ZoneId("palermo")).placement ==
+          Placement::kOut);
+    CHECK(host->published->services.at(ServiceId("tracking"))
+              .servers.at(ServerId("t1"))
+              .placement == Placement::kOut);
+  }
+  fleet.Settle();
+  CheckNoViolations(fleet);
+  CHECK(fleet.service(0).chain().VersionOf(OperationId("o")));
+  CHECK(fleet.service(0).chain().VersionOf(OperationId("p")));
+}
+
+// Guards against an old order that overrides a later decision.
+TEST_CASE("A later change supersedes an order and the operator can see it") {
+  SettingsFleet fleet(2);
+  SetUpZones(fleet);
+  fleet.network.SetSide(HostId("h1"), 1);
+  fleet.store.memory.is_down = true;
+  CHECK(fleet.SubmitAndRun(1, "o", "zones.palermo.state", "out").answer ==
+        Answer::kProvisional);
+  fleet.store.memory.is_down = false;
+  CHECK(fleet.SubmitAndRun(0, "c", "zones.palermo.state", "in").answer ==
+        Answer::kAccepted);
+  fleet.Settle();
+  CheckNoViolations(fleet);
+  CHECK(fleet.service(1).chain().superseded().contains(OperationId("o")));
+  CHECK(fleet.service(0).chain().EffectiveTree().At("zones.palermo.state") ==
+        "in");
+}
+
+TEST_CASE("Split and heal: orders of both sides settle to the greater one") {
+  SettingsFleet fleet(4);
+  SetUpZones(fleet);
+  fleet.store.memory.is_down = true;
+  fleet.network.SetSide(HostId("h2"), 1);
+  fleet.network.SetSide(HostId("h3"), 1);
+  fleet.SubmitAndRun(0, "a-out", "zones.palermo.state", "out");
+  fleet.SubmitAndRun(2, "b-in", "zones.palermo.state", "in");
+  fleet.network.Deliver();
+  fleet.RunAll();
+  CHECK(fleet.service(1).chain().EffectiveTree().At("zones.palermo.state") ==
+        "out");
+  CHECK(fleet.service(3).chain().EffectiveTree().At("zones.palermo.state") ==
+        "in");
+  fleet.network.Heal();
+  fleet.PingAll();
+  for (int i = 0; i < 4; ++i) {
+    CHECK(fleet.service(i).chain().EffectiveTree().At("zones.palermo.state") ==
+          "in");
+  }
+  fleet.Settle();
+  CheckNoViolations(fleet);
+}
+
+// Guards against work taken with settings that may be old.
+TEST_CASE("A starting host that reaches neither store nor peer is not ready") {
+  SettingsFleet fleet(3);
+  SetUpZones(fleet);
+  fleet.store.memory.is_down = true;
+  fleet.network.SetSide(HostId("h2"), 1);
+  fleet.Launch(2);
+  fleet.Start(2);
+  CHECK(!fleet.service(2).is_ready());
+  CHECK(fleet.hosts[2]->published == nullptr);
+  CHECK(fleet.SubmitAndRun(2, "a", "zones.palermo.state", "out").answer ==
+        Answer::kRefused);
+  fleet.network.Heal();
+  fleet.Start(2);
+  CHECK(fleet.service(2).is_ready());
+  CHECK(fleet.service(2).chain().version() == SettingsVersion(3));
+}
+
+TEST_CASE("A starting host takes the greatest version of store and peers") {
+  SettingsFleet fleet(3);
+  SetUpZones(fleet);
+  fleet.store.memory.now += std::chrono::seconds(10);
+  fleet.SubmitAndRun(0, "a", "default.queue_limit", 1);
+  fleet.network.DropInFlight();
+  fleet.store.memory.stale_reads = std::chrono::seconds(5);
+  fleet.Launch(2);
+  fleet.Start(2);
+  CHECK(fleet.service(2).chain().version() == SettingsVersion(4));
+  // A stale head does not take a host back.
+  fleet.Poll(2);
+  CHECK(fleet.service(2).chain().version() == SettingsVersion(4));
+}
+
+// Guards against a start that replays the whole chain or loses a part of it.
+TEST_CASE("A host that starts from a snapshot has the same tree") {
+  SettingsFleet fleet(2);
+  fleet.network.SetSide(HostId("h1"), 1);
+  fleet.StartAll();
+  for (int i = 1; i <= 600; ++i)
+    fleet.SubmitAndRun(0, "op" + std::to_string(i), "default.queue_limit", i);
+  fleet.network.DropInFlight();
+  fleet.Launch(1);
+  const std::uint64_t reads = fleet.store.memory.read_count;
+  fleet.Start(1);
+  CHECK(fleet.store.memory.read_count - reads <= 3);
+  CHECK(fleet.service(1).chain().changes().size() == 600 - 512);
+  CHECK(fleet.SubmitAndRun(1, "op5", "default.queue_limit", 5).version == 5);
+  fleet.Settle();
+  CheckNoViolations(fleet);
+}
+
+TEST_CASE("The fleet reads the head at a rate that does not grow with hosts") {
+  SettingsFleet fleet(5);
+  CHECK(fleet.service(0).current_poll_interval() ==
+        std::chrono::milliseconds(2500));
+}
+
+TEST_CASE("The state of an operation names the hosts that lack it") {
+  SettingsFleet fleet(3);
+  fleet.StartAll();
+  fleet.network.SetSide(HostId("h2"), 1);
+  fleet.SubmitAndRun(0, "a", "default.queue_limit", 1);
+  fleet.network.Deliver();
+  fleet.RunAll();
+  OperationState state;
+  const auto read = [&] {
+    boost::asio::co_spawn(
+        fleet.context,
+        [&]() -> boost::asio::awaitable<void> {
+          OperationId id("a");
+          state = co_await fleet.service(0).StateOf(std::move(id));
+        },
+        boost::asio::detached);
+    fleet.RunAll();
+  };
+  read();
+  CHECK(state.kind == OperationState::Kind::kAccepted);
+  REQUIRE(state.lacking.size() == 1);
+  CHECK(state.lacking[0] == HostId("h2"));
+  fleet.Settle();
+  read();
+  CHECK(state.lacking.empty());
+}
+
+// One random run of operators, outages, lost answers, stale reads, partitions
+// and restarts on a fixed schedule.
+void RunRandomFaults(SettingsFleet& fleet, unsigned seed) {
+  std::minstd_rand random(seed);
+  const auto below = [&](unsigned bound) {
+    return static_cast<int>(random() / 7 % bound);
+  };
+  SetUpZones(fleet);
+  MemoryTableStore& store = fleet.store.memory;
+  constexpr int kSteps = 120;
+  for (int step = 0; step < kSteps; ++step) {
+    store.now += std::chrono::milliseconds(100);
+    const int host = below(4);
+    const std::string id = "r" + std::to_string(step);
+    switch (below(14)) {
+      case 0:
+      case 1:
+      case 2:
+        fleet.Submit(host, id, "default.queue_limit", step);
+        fleet.Submit(below(4), id + "b", "default.queue_limit", step + 1000);
+        break;
+      case 3:
+        fleet.Submit(host, id, "zones.palermo.state",
+                     below(2) == 0 ? "in" : "out");
+        break;
+      case 4:
+        fleet.Submit(host, id, "services.tracking.servers.t1.state",
+                     below(2) == 0 ? "in" : "leaving");
+        break;
+      case 5:
+        store.is_down = below(2) == 0;
+        break;
+      case 6:
+        store.stale_reads = std::chrono::milliseconds(below(1000));
+        break;
+      case 7:
+      case 8:
+        store.next_fate = static_cast<Fate>(below(5));
+        break;
+      case 9:
+        fleet.network.SetSide(fleet.hosts[host]->id, below(2));
+        break;
+      case 10:
+        fleet.network.Heal();
+        fleet.network.Deliver();
+        break;
+      case 11:
+        store.ApplyLate();
+        fleet.Poll(host);
+        break;
+      case 12:
+        fleet.network.Ping(fleet.hosts[host]->id, fleet.hosts[below(4)]->id);
+        break;
+      default:
+        fleet.RunAll();
+        // An order known to one host alone may die with it.
+        if (fleet.service(host).chain().orders().empty()) {
+          fleet.Launch(host);
+          fleet.Start(host);
+        }
+        break;
+    }
+    if (below(2) == 0) fleet.RunAll();
+  }
+  fleet.RunAll();
+}
+
+TEST_CASE("No violation under random faults") {
+  for (unsigned seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    SettingsFleet fleet(4, seed);
+    RunRandomFaults(fleet, seed);
+    fleet.Settle();
+    CheckNoViolations(fleet);
+  }
+}
+
+// The checker must see each kind of violation, or a clean run says nothing.
+TEST_CASE("The history checker finds planted violations") {
+  SettingsFleet fleet(2);
+  SetUpZones(fleet);
+  fleet.SubmitAndRun(0, "a", "default.queue_limit", 1);
+  fleet.Settle();
+  const auto rows = fleet.store.memory.table.Newest();
+  REQUIRE(fleet.history.Check(rows).empty());
+  const auto violations = [&](const auto& plant) {
+    SettingsHistory history = fleet.history;
+    auto planted_rows = rows;
+    plant(history, planted_rows);
+    return history.Check(planted_rows).size();
+  };
+  using Rows = std::map<std::string, TableRow>;
+  const std::string last = ChangeKey(SettingsVersion(4));
+  CHECK(violations([](SettingsHistory& history, Rows&) {
+          history.operations.push_back(
+              {"lost", "default.cold_limit", 1, Answer::kAccepted, 4});
+        }) == 1);
+  CHECK(violations([](SettingsHistory& history, Rows&) {
+          history.operations.back().answer = Answer::kRefused;
+        }) == 1);
+  CHECK(violations([](SettingsHistory& history, Rows&) {
+          history.operations.back().version = 3;
+        }) == 1);
+  CHECK(violations([](SettingsHistory& history, Rows&) {
+          history.operations.back().value = 2;
+        }) == 1);
+  CHECK(violations([](SettingsHistory& history, Rows&) {
+          history.operations.push_back(
+              {"order", "zones.palermo.state", "out", Answer::kProvisional});
+        }) == 1);
+  CHECK(violations([](SettingsHistory& history, Rows&) {
+          history.host_versions["h0"] = {3, 2};
+        }) == 1);
+  CHECK(violations([](SettingsHistory& history, Rows&) {
+          history.host_versions["h0"] = {9};
+        }) == 1);
+  CHECK(violations([&](SettingsHistory&, Rows& planted) {
+          planted.erase(last);
+        }) == 2);
+  CHECK(violations([&](SettingsHistory&, Rows& planted) {
+          planted.at(last).version = 2;
+        }) >= 1);
+  CHECK(
+      violations([&](SettingsHistory&, Rows& planted) {
+        auto change =
+            SettingsChange::FromJson(ParseRow(planted.at(last).value)).value();
+        change.version = SettingsVersion(5);
+        planted[ChangeKey(change.version)] = {ChangeKey(change.version), 1,
+                                              change.ToJson().dump()};
+        planted.at(kHeadKey).version = 5;
+      }) == 1);
+}
+
+}  // namespace
+}  // namespace dogwood
