Entry: Test the operators' API

Cause: the mapping of requests to changes had no test. Change: tests for creating and reading every kind of object, wrong requests and the statuses of conflict, refusal, provisional order. Conclusion: the listener can be put in front of OperatorApi.

--- /dev/null
+++ b/Tests/Services/Entry/operator_api_test.cc
@@ -0,0 +1,127 @@
+#include <doctest/doctest.h>
+
+#include "Tests/Services/Entry/settings_fleet.h"
+
+namespace dogwood {
+namespace {
+
+using Json = nlohmann::json;
+
+struct Answer {
+  unsigned status = 0;
+  Json body;
+};
+
+Answer Send(SettingsFleet& fleet, const std::string& method,
+            const std::string& target, const Json& body = Json()) {
+  OperatorApi api(fleet.service(0));
+  Answer answer;
+  boost::asio::co_spawn(
+      fleet.context,
+      [&]() -> boost::asio::awaitable<void> {
+        HttpRequest request;
+        request.method = method;
+        request.target = target;
+        if (!body.is_null()) request.body = body.dump();
+        const HttpResponse response = co_await api.Handle(std::move(request));
+        answer = {response.status, Json::parse(response.body)};
+      },
+      boost::asio::detached);
+  fleet.RunAll();
+  return answer;
+}
+
+// Guards against a request that is mapped to another path or value.
+TEST_CASE("Operators create and read parties, zones, servers, agreements") {
+  SettingsFleet fleet(2);
+  fleet.StartAll();
+  CHECK(Send(fleet, "POST", "/v1/zones",
+             {{"operation", "1"}, {"zone", "palermo"}, {"limit", 40}})
+            .status == 200);
+  CHECK(Send(fleet, "POST", "/v1/servers",
+             {{"operation", "2"},
+              {"service", "tracking"},
+              {"server", "t1"},
+              {"address", "127.0.0.1:7001"},
+              {"zone", "palermo"}})
+            .status == 200);
+  CHECK(Send(fleet, "POST", "/v1/parties",
+             {{"operation", "3"}, {"party", "lesta"}})
+            .status == 200);
+  const Json agreement = {{"operation", "4"},
+                          {"party", "lesta"},
+                          {"service", "tracking"},
+                          {"calls_per_second", 5},
+                          {"calls_per_month", 1000}};
+  CHECK(Send(fleet, "POST", "/v1/agreements", agreement).body["version"] == 4);
+  CHECK(Send(fleet, "POST", "/v1/agreements", agreement).body["version"] == 4);
+  CHECK(Send(fleet, "POST", "/v1/zones/palermo/out", {{"operation", "5"}})
+            .body["outcome"] == "accepted");
+  CHECK(
+      Send(fleet, "POST", "/v1/servers/tracking/t1/leave", {{"operation", "6"}})
+          .status == 200);
+  CHECK(Send(fleet, "GET", "/v1/zones").body["palermo"] ==
+        Json({{"limit", 40}, {"state", "out"}}));
+  CHECK(Send(fleet, "GET", "/v1/servers").body[0]["state"] == "leaving");
+  CHECK(Send(fleet, "GET", "/v1/agreements").body[0]["calls_per_month"] ==
+        1000);
+  CHECK(Send(fleet, "GET", "/v1/hosts").body.size() == 2);
+  CHECK(Send(fleet, "GET", "/v1/settings/history?after=4").body.size() == 2);
+  CHECK(Send(fleet, "GET", "/v1/settings/diff?from=5").body.size() == 1);
+  CHECK(Send(fleet, "GET", "/v1/settings?path=zones.palermo.limit")
+            .body["value"] == 40);
+  fleet.Settle();
+  CHECK(Send(fleet, "GET", "/v1/changes/6").body["in_force_everywhere"] ==
+        true);
+}
+
+// Guards against wrong input that is accepted or answered without a reason.
+TEST_CASE("Wrong requests get a status and a reason and change nothing") {
+  SettingsFleet fleet(1);
+  fleet.StartAll();
+  CHECK(Send(fleet, "POST", "/v1/settings", {{"path", "default.queue_limit"}})
+            .status == 400);
+  const Answer unknown =
+      Send(fleet, "POST", "/v1/settings",
+           {{"operation", "1"}, {"path", "default.queue"}, {"value", 1}});
+  CHECK(unknown.status == 400);
+  CHECK(unknown.body["error"].get<std::string>().find("default.queue") !=
+        std::string::npos);
+  CHECK(Send(fleet, "POST", "/v1/settings", Json("text")).status == 400);
+  CHECK(Send(fleet, "POST", "/v1/settings", std::string(300000, 'a')).status ==
+        413);
+  CHECK(
+      Send(fleet, "POST", "/v1/zones/none/out", {{"operation", "1"}}).status ==
+      404);
+  CHECK(Send(fleet, "DELETE", "/v1/settings").status == 405);
+  CHECK(Send(fleet, "GET", "/v1/nothing").status == 404);
+  CHECK(Send(fleet, "GET", "/v1/changes/nothing").status == 404);
+  CHECK(Send(fleet, "GET", "/v1/settings/diff?from=x").status == 400);
+  CHECK(fleet.service(0).chain().version() == SettingsVersion(0));
+}
+
+TEST_CASE("Statuses tell conflict, refusal, provisional order and unknown") {
+  SettingsFleet fleet(1);
+  fleet.StartAll();
+  Send(fleet, "POST", "/v1/zones", {{"operation", "z"}, {"zone", "palermo"}});
+  const auto set = [&](const char* id, int value, int base) {
+    return Send(fleet, "POST", "/v1/settings",
+                {{"operation", id},
+                 {"path", "default.queue_limit"},
+                 {"value", value},
+                 {"base", static_cast<unsigned>(base)}});
+  };
+  CHECK(set("a", 1, 1).status == 200);
+  const Answer conflict = set("b", 2, 1);
+  CHECK(conflict.status == 409);
+  CHECK(conflict.body["current"] == 1);
+  CHECK(conflict.body["wanted"] == 2);
+  fleet.store.memory.is_down = true;
+  CHECK(set("c", 3, 2).status == 503);
+  CHECK(Send(fleet, "POST", "/v1/zones/palermo/out", {{"operation", "o"}})
+            .status == 202);
+  CHECK(Send(fleet, "GET", "/v1/changes/o").body["state"] == "provisional");
+}
+
+}  // namespace
+}  // namespace dogwood
