--- a/Libraries/Usage/usage_copies.cc
+++ b/Libraries/Usage/usage_copies.cc
@@ -9,6 +9,14 @@
   if (!is_new) found->second.Merge(row);
 }
 
+void UsageCopies::Expect(Month month, const HostIncarnation& vanished) {
+  UsageRow row;
+  row.month = month;
+  row.host = vanished.host;
+  row.incarnation = vanished.incarnation;
+  copies_.try_emplace(row.key(), row);
+}
+
 std::vector<std::string> UsageCopies::Vanished(
     const LiveIncarnations& live) const {
   std::vector<std::string> keys;
@@ -22,6 +30,7 @@
                                                     const TableRow& current,
                                                     WallTime wall) const {
   UsageRow row = copies_.at(key);
+  if (current.version == 0 && row.use.empty()) return std::nullopt;
   // Without a readable row, nobody knows which peers hold its extensions.
   std::vector<HostIncarnation> peers = row.peers;
   UsageRowState state = UsageRowState::kRunning;
--- a/Libraries/Usage/usage_copies.h
+++ b/Libraries/Usage/usage_copies.h
@@ -33,6 +33,11 @@
   std::optional<TableCommit> AdoptCommit(const std::string& key,
                                          const TableRow& current,
                                          WallTime wall) const;
+  // Takes part in the adoption of a row although no copy of it has arrived. The
+  // host may be one of its peers; then no extension has come into force.
+  void Expect(Month month, const HostIncarnation& vanished);
+  bool contains(const std::string& key) const { return copies_.contains(key); }
+  const UsageRow& copy(const std::string& key) const { return copies_.at(key); }
   void Forget(const std::string& key) { copies_.erase(key); }
 
  private:
--- a/Services/Entry/usage_service.cc
+++ b/Services/Entry/usage_service.cc
@@ -81,9 +81,24 @@
   peers_.Handle("usage-totals", [this](HostId, Json body) {
     return HandleTotals(std::move(body));
   });
+  peers_.AddMemberListener(
+      [this](const std::vector<Member>& members) { NoteMembers(members); });
+  NoteMembers(peers_.members());
   asio::co_spawn(executor_, Loop(), asio::detached);
 }
 
+void UsageService::NoteMembers(const std::vector<Member>& members) {
+  LiveIncarnations now;
+  for (const Member& member : members)
+    now.insert({member.host, member.incarnation});
+  for (const HostIncarnation& before : seen_) {
+    if (now.contains(before)) continue;
+    for (const Month month : ledger_.open_months())
+      copies_.Expect(month, before);
+  }
+  seen_ = std::move(now);
+}
+
 asio::awaitable<Result<void>> UsageService::Open(TimePoint deadline) {
   const Month month = MonthOf(clock_.Wall());
   ledger_.Open(month);
@@ -106,7 +121,7 @@
       if (!is_low && !(is_due && ledger_.NeedsWrite(month))) continue;
       if (!co_await WriteMonth(month)) co_await Extend(month);
     }
-    if (is_due) co_await Adopt();
+    if (is_due) co_await Adopt(options_.adopt_delay);
     co_await clock_.Sleep(options_.tick);
   }
 }
@@ -244,6 +259,8 @@
                      {{"error", row.error().message}});
       co_return row.error();
     }
+    // What this host holds is already on its way to others.
+    if (is_stopping_) co_return MergeReply(false);
     const std::string key = row.value().key();
     if (body.value("stored", false)) {
       adopted_.erase(key);
@@ -258,10 +275,9 @@
   }
 }
 
-asio::awaitable<void> UsageService::Adopt() {
-  LiveIncarnations live{own_};
-  for (const Member& member : peers_.members())
-    live.insert({member.host, member.incarnation});
+asio::awaitable<void> UsageService::Adopt(Duration delay) {
+  LiveIncarnations live = seen_;
+  live.insert(own_);
   const std::vector<std::string> vanished = copies_.Vanished(live);
   std::erase_if(vanished_since_, [&vanished](const auto& entry) {
     return std::find(vanished.begin(), vanished.end(), entry.first) ==
@@ -271,30 +287,38 @@
   for (const std::string& key : vanished) {
     const TimePoint since =
         vanished_since_.try_emplace(key, clock_.Now()).first->second;
-    if (clock_.Now() < since + options_.adopt_delay || left == 0) continue;
+    if (clock_.Now() < since + delay || left == 0) continue;
     --left;
-    const Result<TableRow> row =
-        co_await store_.Read(key, options_.store_timeout);
-    if (!row) co_return;
-    const auto commit = copies_.AdoptCommit(key, row.value(), clock_.Wall());
-    if (!commit) {
+    const bool is_stored = co_await AdoptOne(key);
+    if (is_stored && clock_.Now() >= since + options_.forget_delay)
       copies_.Forget(key);
-      continue;
-    }
-    adopted_.insert(key);
-    const CommitResult result =
-        co_await store_.Commit(*commit, options_.store_timeout);
-    if (std::holds_alternative<Committed>(result))
-      events_.Record(EventId::kUsageAdopted, {{"row", key}});
   }
 }
 
+asio::awaitable<bool> UsageService::AdoptOne(std::string key) {
+  const Result<TableRow> row =
+      co_await store_.Read(key, options_.store_timeout);
+  if (!row) co_return false;
+  // Another adoption may have forgotten it meanwhile.
+  if (!copies_.contains(key)) co_return true;
+  const auto commit = copies_.AdoptCommit(key, row.value(), clock_.Wall());
+  if (!commit) co_return true;
+  adopted_.insert(key);
+  const CommitResult result =
+      co_await store_.Commit(*commit, options_.store_timeout);
+  if (!std::holds_alternative<Committed>(result)) co_return false;
+  events_.Record(EventId::kUsageAdopted, {{"row", key}});
+  co_return true;
+}
+
 asio::awaitable<bool> UsageService::WriteAll() {
   bool is_all_written = true;
   for (const Month month : ledger_.open_months()) {
-    if (ledger_.NeedsWrite(month) && !co_await WriteMonth(month) &&
-        !co_await WriteMonth(month))
-      is_all_written = false;
+    // The first write may only find out what the row holds.
+    bool is_written = !ledger_.NeedsWrite(month);
+    for (int attempt = 0; attempt < 2 && !is_written; ++attempt)
+      is_written = co_await WriteMonth(month);
+    is_all_written = is_all_written && is_written;
   }
   co_return is_all_written;
 }
@@ -302,27 +326,52 @@
 asio::awaitable<Result<void>> UsageService::Flush(TimePoint deadline) {
   is_stopping_ = true;
   ledger_.Close();
+  std::set<std::string> copies;
+  LiveIncarnations live = seen_;
+  live.insert(own_);
+  for (const std::string& key : copies_.Vanished(live)) copies.insert(key);
   while (true) {
-    if (co_await WriteAll() && ledger_.is_written())
-      co_return outcome::success();
+    bool is_written = co_await WriteAll();
+    is_written = is_written && ledger_.is_written();
+    const std::set<std::string> unstored = copies;
+    for (const std::string& key : unstored) {
+      const bool is_stored = co_await AdoptOne(key);
+      if (is_stored) copies.erase(key);
+    }
+    if (is_written && copies.empty()) co_return outcome::success();
     if (clock_.Now() >= deadline) break;
     co_await clock_.Sleep(options_.tick);
   }
   bool is_held = true;
   for (const Month month : ledger_.open_months()) {
-    const std::vector<HostIncarnation> named = ledger_.ExtensionPeers(month);
-    const UsageRow row = ledger_.Snapshot(month, named, clock_.Wall());
-    if (named.empty()) is_held = false;
-    for (const HostIncarnation& peer : named)
-      is_held =
-          co_await Send(peer, row, Amount::kEverything, Origin::kExtension) &&
-          is_held;
+    if (!ledger_.NeedsWrite(month)) continue;
+    const UsageRow row = ledger_.Snapshot(month, {}, clock_.Wall());
+    const bool is_taken = co_await HandToMembers(row);
+    is_held = is_held && is_taken;
+  }
+  for (const std::string& key : copies) {
+    if (!copies_.contains(key) || copies_.copy(key).use.empty()) continue;
+    const bool is_taken = co_await HandToMembers(copies_.copy(key));
+    is_held = is_held && is_taken;
   }
   if (is_held) co_return outcome::success();
   co_return Fail(ErrorCode::kUnavailable,
                  "neither store nor peers hold the final totals");
 }
 
+asio::awaitable<bool> UsageService::HandToMembers(UsageRow row) {
+  std::size_t holders = 0;
+  const LiveIncarnations candidates = seen_;
+  for (const HostIncarnation& member : candidates) {
+    if (holders == kPeers) break;
+    // What a member holds of another host's row is not tracked.
+    sent_.erase({member, row.month});
+    if (co_await Send(member, row, Amount::kEverything, Origin::kExtension))
+      ++holders;
+  }
+  co_return holders > 0;
+}
+
 asio::awaitable<Result<std::vector<TableRow>>> UsageService::ReadRows(
     Month month, LiveIncarnations confirmed) {
   std::map<std::string, TableRow> rows;
--- a/Services/Entry/usage_service.h
+++ b/Services/Entry/usage_service.h
@@ -37,6 +37,9 @@
   std::size_t keys_per_message = 24;
   // How long an incarnation must be missing before its copy is written.
   Duration adopt_delay = std::chrono::seconds(5);
+  // A copy that adds nothing to the store's row is kept this long, because the
+  // row may have been read from the past.
+  Duration forget_delay = std::chrono::seconds(30);
   std::size_t adoptions_per_interval = 8;
   // A month opens this long before it begins and closes this long after it
   // ends; the latter exceeds every request deadline.
@@ -59,8 +62,9 @@
   // Writes the current month's first row. Until it has returned success, no
   // request may be admitted.
   boost::asio::awaitable<Result<void>> Open(TimePoint deadline);
-  // Planned stop, after the last request: writes exact totals, or gives them to
-  // all peers of the row while the store is down.
+  // Planned stop, after the last request: writes exact totals and the copies it
+  // holds of vanished hosts, or gives both to other members while the store is
+  // down.
   boost::asio::awaitable<Result<void>> Flush(TimePoint deadline);
 
   // Asks all hosts to write, then reads the store's rows.
@@ -96,7 +100,11 @@
   boost::asio::awaitable<void> Extend(Month month);
   boost::asio::awaitable<bool> Send(HostIncarnation peer, UsageRow row,
                                     Amount amount, Origin origin);
-  boost::asio::awaitable<void> Adopt();
+  boost::asio::awaitable<void> Adopt(Duration delay);
+  boost::asio::awaitable<bool> AdoptOne(std::string key);
+  // Gives a row to two other members, whichever accept it.
+  boost::asio::awaitable<bool> HandToMembers(UsageRow row);
+  void NoteMembers(const std::vector<Member>& members);
   boost::asio::awaitable<bool> WriteAll();
   boost::asio::awaitable<Result<nlohmann::json>> HandleTotals(
       nlohmann::json body);
@@ -116,6 +124,7 @@
   UsageCopies copies_;
   std::map<std::pair<HostIncarnation, Month>, PeerState> sent_;
   std::map<std::string, TimePoint> vanished_since_;
+  LiveIncarnations seen_;  // members of the newest view
   // Rows this host may have written for a vanished incarnation. If it comes
   // back, its extensions are refused until it has written its row itself:
   // readers take an adopted row's reservations as final.
--- /dev/null
+++ b/Tests/Services/Entry/usage_service_test.cc
@@ -0,0 +1,376 @@
+#include "Services/Entry/usage_service.h"
+
+#include <doctest/doctest.h>
+
+#include "Tests/Services/Entry/control_world.h"
+
+namespace dogwood {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+using Truth = std::map<UsageKey, std::uint64_t>;
+
+class FakeSnapshots final : public SnapshotStore {
+ public:
+  asio::awaitable<Result<void>> Put(std::string name,
+                                    std::string text) override {
+    objects[name] = std::move(text);
+    co_return outcome::success();
+  }
+  asio::awaitable<Result<std::string>> Read(std::string name) override {
+    if (!objects.contains(name)) co_return Fail(ErrorCode::kNotFound, name);
+    co_return objects[name];
+  }
+  std::map<std::string, std::string> objects;
+};
+
+// The first line outside of its bounds, or an empty text. `before` and `after`
+// are the true use when the report began and ended.
+std::string FindViolation(const UsageReport& report, const Truth& before,
+                          const Truth& after) {
+  std::map<UsageKey, UsageLine> lines;
+  for (const UsageLine& line : report.lines()) lines[line.key] = line;
+  for (const auto& [key, use] : before) {
+    const std::string name = key.party.value() + "/" + key.service.value();
+    if (!lines.contains(key)) return name + " is missing";
+    if (lines[key].high && *lines[key].high < use)
+      return name + " used " + std::to_string(use) + " over " +
+             std::to_string(*lines[key].high);
+  }
+  for (const auto& [key, line] : lines) {
+    const auto use = after.find(key);
+    if (line.low > (use == after.end() ? 0 : use->second))
+      return key.party.value() + "/" + key.service.value() +
+             " used less than " + std::to_string(line.low);
+  }
+  return "";
+}
+
+struct Host {
+  Host(ControlWorld& world, Switchboard& board, EventLog& events,
+       const HostId& id, Incarnation incarnation, UsageOptions options)
+      : gate(world),
+        clock(world, gate),
+        store(world, gate),
+        peers(world, gate, board, id, incarnation),
+        ledger(id, incarnation, options),
+        service(world.io.get_executor(), clock, store, peers, events, ledger,
+                id, incarnation, {}) {
+    service.Start();
+  }
+  Gate gate;
+  FakeClock clock;
+  FakeStore store;
+  FakePeers peers;
+  UsageLedger ledger;
+  UsageService service;
+  bool is_open = false;
+};
+
+enum class Admission { kReserved, kUnchecked };
+
+class Schedule {
+ public:
+  static constexpr int kHosts = 4;
+
+  explicit Schedule(std::uint64_t seed, UsageOptions usage = {})
+      : world(seed), usage_options(usage) {
+    EventLog::Options options;
+    options.file = "/dev/null";
+    events = EventLog::Open(options).value();
+    for (int i = 0; i < kHosts; ++i) Start(i);
+    ShowTrueViews();
+  }
+
+  void Start(int index) {
+    const HostId id("host-" + std::to_string(index));
+    running.resize(kHosts);
+    hosts.push_back(std::make_unique<Host>(
+        world, board, *events, id, Incarnation(++incarnations), usage_options));
+    running[index] = hosts.back().get();
+    asio::co_spawn(
+        world.io,
+        [](ControlWorld& at, Host* host) -> asio::awaitable<void> {
+          const auto opened =
+              co_await host->service.Open(at.now + std::chrono::hours(1));
+          host->is_open = opened.has_value();
+        }(world, running[index]),
+        asio::detached);
+  }
+  void Kill(int index) {
+    running[index]->gate.state = Gate::State::kDead;
+    running[index]->is_open = false;
+    Start(index);
+    ShowTrueViews();
+  }
+  // A planned stop followed by a new start.
+  void Stop(int index) {
+    Host* host = running[index];
+    if (!host->is_open || host->gate.state != Gate::State::kRunning) return;
+    host->is_open = false;
+    asio::co_spawn(
+        world.io,
+        [](Schedule* self, Host* stopping, int at) -> asio::awaitable<void> {
+          const auto flushed = co_await stopping->service.Flush(
+              self->world.now + std::chrono::seconds(5));
+          if (!flushed) ++self->unflushed;
+          stopping->gate.state = Gate::State::kDead;
+          self->Start(at);
+          self->ShowTrueViews();
+        }(this, host, index),
+        asio::detached);
+  }
+  void ShowTrueViews() {
+    for (int i = 0; i < kHosts; ++i) {
+      std::vector<Member> view;
+      for (int j = 0; j < kHosts; ++j) {
+        if (j != i && running[j]->peers.is_running())
+          view.push_back({HostId("host-" + std::to_string(j)), ZoneId("a"),
+                          running[j]->peers.incarnation()});
+      }
+      running[i]->peers.SetView(std::move(view));
+    }
+  }
+  void ShowWrongView(int index) {
+    std::vector<Member> view = running[index]->peers.members();
+    std::erase_if(view, [this](const Member&) { return world.Chance(40); });
+    running[index]->peers.SetView(std::move(view));
+  }
+  void Pause(int index, Duration length) {
+    Host* host = running[index];
+    if (host->gate.state != Gate::State::kRunning) return;
+    host->gate.state = Gate::State::kPaused;
+    world.At(world.now + length, [host] {
+      if (host->gate.state == Gate::State::kPaused) host->gate.Resume();
+    });
+  }
+
+  void Use(Admission admission) {
+    const UsageKey key{PartyId("p" + std::to_string(world.Pick(3))),
+                       ServiceId("s" + std::to_string(world.Pick(2)))};
+    Host& host = *running[world.Pick(kHosts)];
+    if (!host.is_open || host.gate.state != Gate::State::kRunning) return;
+    const Month month = MonthOf(host.clock.Wall());
+    if (admission == Admission::kReserved &&
+        !host.ledger.TryAdmit(key.party, key.service, month)) {
+      ++refused;
+      return;
+    }
+    host.ledger.Record(key.party, key.service, month);
+    ++truth[key];
+  }
+
+  // Builds a report on a random host and checks it.
+  asio::awaitable<void> CheckReport(Host* host) {
+    const Truth before = truth;
+    const auto report =
+        co_await host->service.Report(MonthOf(host->clock.Wall()), {});
+    if (!report) co_return;
+    ++reports;
+    last_report = report.value();
+    const std::string found = FindViolation(report.value(), before, truth);
+    if (!found.empty() && violation.empty()) violation = found;
+  }
+  void StartReport() {
+    Host* host = running[world.Pick(kHosts)];
+    if (host->is_open)
+      asio::co_spawn(world.io, CheckReport(host), asio::detached);
+  }
+
+  enum class Faults { kOutagesAndStops, kKills, kAll };
+
+  void RunRandomly(Faults faults, Admission admission) {
+    world.Run(world.now + std::chrono::seconds(2));
+    for (int step = 0; step < 600; ++step) {
+      world.lost_percent = 10;
+      world.stale_percent = 30;
+      world.slow_percent = 10;
+      world.drop_percent = faults == Faults::kAll ? 5 : 0;
+      const int burst = admission == Admission::kUnchecked ? 300 : 30;
+      for (int i = world.Pick(burst); i > 0; --i) Use(admission);
+      switch (world.Pick(80)) {
+        case 0:
+        case 1:
+          world.is_store_down = faults != Faults::kKills;
+          break;
+        case 2:
+          if (faults != Faults::kKills) Stop(world.Pick(kHosts));
+          break;
+        case 3:
+          if (faults != Faults::kOutagesAndStops) Kill(world.Pick(kHosts));
+          break;
+        case 4:
+          if (faults == Faults::kAll)
+            Pause(world.Pick(kHosts), milliseconds(world.Pick(15000)));
+          break;
+        case 5:
+          if (faults == Faults::kAll) ShowWrongView(world.Pick(kHosts));
+          break;
+        case 6:
+          ShowTrueViews();
+          break;
+        case 7:
+        case 8:
+        case 9:
+          StartReport();
+          break;
+        default:
+          world.is_store_down = world.is_store_down && !world.Chance(2);
+      }
+      world.Run(world.now + milliseconds(100));
+    }
+    world.is_store_down = false;
+    world.lost_percent = world.drop_percent = world.slow_percent = 0;
+    ShowTrueViews();
+    world.Run(world.now + std::chrono::seconds(40));
+  }
+  // Stops all hosts and reads the month from one that starts afterwards.
+  void FinalReport() {
+    for (int i = 0; i < kHosts; ++i) Stop(i);
+    world.Run(world.now + std::chrono::seconds(20));
+    for (int i = 0; i < kHosts; ++i) Stop(i);
+    world.Run(world.now + std::chrono::seconds(20));
+    last_report.reset();
+    asio::co_spawn(world.io, CheckReport(running[0]), asio::detached);
+    world.Run(world.now + std::chrono::seconds(20));
+  }
+
+  std::unique_ptr<EventLog> events;
+  ControlWorld world;
+  UsageOptions usage_options;
+  Switchboard board;
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::vector<Host*> running;
+  Truth truth;
+  std::string violation;
+  std::optional<UsageReport> last_report;
+  int reports = 0;
+  int refused = 0;
+  int unflushed = 0;
+  std::uint64_t incarnations = 100;
+};
+
+// Guards against a checker that accepts everything.
+TEST_CASE("The bounds check finds each planted violation") {
+  const UsageKey key{PartyId("p"), ServiceId("s")};
+  UsageRow row{Month(24312), HostId("h"), Incarnation(1),
+               UsageRowState::kAdopted};
+  row.use[key] = {10, 20};
+  const TableRow stored{row.key(), 1, row.Encode()};
+  const UsageReport report =
+      UsageReport::Build(row.month, {&stored, 1}, {}, {}).value();
+  CHECK(FindViolation(report, {{key, 10}}, {{key, 20}}).empty());
+  CHECK(!FindViolation(report, {{key, 21}}, {{key, 21}}).empty());
+  CHECK(!FindViolation(report, {{key, 9}}, {{key, 9}}).empty());
+  CHECK(
+      !FindViolation(report, {{{PartyId("q"), ServiceId("s")}, 1}}, {{key, 10}})
+           .empty());
+}
+
+// Guards against use outside of the bounds under kills, pauses, outages, lost
+// and late writes, stale reads and wrong views.
+TEST_CASE("True use stays within the report's bounds in random schedules") {
+  int reports = 0;
+  int unbounded = 0;
+  std::uint64_t use = 0;
+  std::uint64_t refused = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Schedule schedule(seed);
+    schedule.RunRandomly(Schedule::Faults::kAll, Admission::kReserved);
+    schedule.FinalReport();
+    INFO("seed " << seed);
+    CHECK(schedule.violation == "");
+    REQUIRE(schedule.last_report);
+    for (const UsageLine& line : schedule.last_report->lines())
+      unbounded += line.high ? 0 : 1;
+    reports += schedule.reports;
+    refused += static_cast<std::uint64_t>(schedule.refused);
+    for (const auto& [key, count] : schedule.truth) use += count;
+  }
+  MESSAGE("reports " << reports << ", charged " << use << ", refused "
+                     << refused << ", final lines unbounded " << unbounded);
+  CHECK(reports > 100);
+  CHECK(use > 50000);
+}
+
+// Guards against lost or doubled charges when no host is killed.
+TEST_CASE("Use is exact when hosts only stop as planned") {
+  int unflushed = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Schedule schedule(seed);
+    schedule.RunRandomly(Schedule::Faults::kOutagesAndStops,
+                         Admission::kReserved);
+    schedule.FinalReport();
+    INFO("seed " << seed);
+    CHECK(schedule.violation == "");
+    REQUIRE(schedule.last_report);
+    unflushed += schedule.unflushed;
+    if (schedule.unflushed > 0) continue;
+    for (const UsageLine& line : schedule.last_report->lines()) {
+      const std::uint64_t use = schedule.truth[line.key];
+      CHECK(line.low == use);
+      // The hosts that started last still have a reservation.
+      CHECK(line.high.value_or(0) <= use + Schedule::kHosts * 64);
+    }
+  }
+  MESSAGE("stops that could not flush " << unflushed);
+}
+
+// Guards against schedules too tame to show a missing reservation.
+TEST_CASE("Charges without admission leave the bounds in some schedule") {
+  int violations = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    // Small reservations, which the charges soon exceed.
+    Schedule schedule(seed, {4, 0});
+    schedule.RunRandomly(Schedule::Faults::kKills, Admission::kUnchecked);
+    schedule.FinalReport();
+    if (!schedule.violation.empty()) ++violations;
+  }
+  CHECK(violations > 0);
+}
+
+// Guards against a month that closes twice with different contents.
+TEST_CASE("A closed month keeps its snapshot and shows late rows") {
+  Schedule schedule(1);
+  FakeSnapshots snapshots;
+  schedule.world.Run(schedule.world.now + std::chrono::seconds(2));
+  for (int i = 0; i < 50; ++i) schedule.Use(Admission::kReserved);
+  const Month month = MonthOf(schedule.running[0]->clock.Wall());
+  schedule.world.now += std::chrono::hours(24 * 40);
+  schedule.world.Run(schedule.world.now + std::chrono::seconds(10));
+  std::optional<Result<UsageReport>> closed;
+  std::optional<Result<UsageReport>> again;
+  std::optional<Result<UsageReport>> tampered;
+  std::optional<Result<std::vector<UsageLine>>> corrections;
+  asio::co_spawn(
+      schedule.world.io,
+      [&]() -> asio::awaitable<void> {
+        UsageService& service = schedule.running[0]->service;
+        closed = co_await service.CloseMonth(month, {}, snapshots);
+        again = co_await schedule.running[1]->service.CloseMonth(month, {},
+                                                                 snapshots);
+        UsageRow late{month, HostId("late"), Incarnation(1),
+                      UsageRowState::kClosed};
+        late.use[{PartyId("p0"), ServiceId("s0")}] = {5, 5};
+        TableCommit commit;
+        commit.puts.push_back({late.key(), late.Encode()});
+        schedule.world.Apply(commit);
+        corrections = co_await service.Corrections(month, {}, snapshots);
+        snapshots.objects.begin()->second += " ";
+        tampered = co_await service.Verify(month, snapshots);
+      },
+      asio::detached);
+  schedule.world.Run(schedule.world.now + std::chrono::seconds(20));
+  REQUIRE(closed);
+  REQUIRE(closed->has_value());
+  CHECK(FindViolation(closed->value(), schedule.truth, schedule.truth) == "");
+  CHECK(closed->value().is_exact());
+  REQUIRE(again->has_value());
+  CHECK(again->value().SnapshotText() == closed->value().SnapshotText());
+  REQUIRE(corrections->has_value());
+  CHECK(corrections->value().size() == 1);
+  CHECK(!tampered->has_value());
+}
+
+}  // namespace
+}  // namespace dogwood
