Usage: Let a stopping host pass on its place as a peer

Cause: a peer that stopped as planned left rows that nobody could adopt. Change: a stopping host hands whole copies to members that stand for it.

--- a/Libraries/Usage/usage_copies.cc
+++ b/Libraries/Usage/usage_copies.cc
@@ -9,6 +9,31 @@
   if (!is_new) found->second.Merge(row);
 }
 
+void UsageCopies::StandFor(const std::string& key,
+                           const HostIncarnation& peer) {
+  stands_for_[key].insert(peer);
+}
+
+std::set<HostIncarnation> UsageCopies::StandsFor(const std::string& key) const {
+  const auto found = stands_for_.find(key);
+  std::set<HostIncarnation> peers;
+  if (found != stands_for_.end()) peers = found->second;
+  peers.insert(own_);
+  return peers;
+}
+
+std::vector<std::string> UsageCopies::keys() const {
+  std::vector<std::string> list;
+  list.reserve(copies_.size());
+  for (const auto& [key, copy] : copies_) list.push_back(key);
+  return list;
+}
+
+void UsageCopies::Forget(const std::string& key) {
+  copies_.erase(key);
+  stands_for_.erase(key);
+}
+
 void UsageCopies::Expect(Month month, const HostIncarnation& vanished) {
   UsageRow row;
   row.month = month;
@@ -46,8 +71,11 @@
     before = stored.value().use;
     row.Merge(stored.value());
   }
-  const bool is_peer =
-      std::find(peers.begin(), peers.end(), own_) != peers.end();
+  const std::set<HostIncarnation> stands_for = StandsFor(key);
+  const bool is_peer = std::any_of(peers.begin(), peers.end(),
+                                   [&stands_for](const HostIncarnation& peer) {
+                                     return stands_for.contains(peer);
+                                   });
   if (is_peer) state = UsageRowState::kAdopted;
   if (current.version > 0 && row.use == before &&
       UsageRow::Parse(current.value).value().state == state)
--- a/Libraries/Usage/usage_copies.h
+++ b/Libraries/Usage/usage_copies.h
@@ -22,13 +22,19 @@
 
   // Newest wins per party and service: amounts only rise.
   void Merge(const UsageRow& row);
+  // From now on this host stands for a peer that handed its whole copy over
+  // before it stopped, and that confirms no extension any more.
+  void StandFor(const std::string& key, const HostIncarnation& peer);
+  // This host and the peers it stands for.
+  std::set<HostIncarnation> StandsFor(const std::string& key) const;
+  std::vector<std::string> keys() const;
   std::size_t size() const { return copies_.size(); }
 
   // Keys of copies whose incarnation is not alive.
   std::vector<std::string> Vanished(const LiveIncarnations& live) const;
   // The final write for a vanished incarnation on top of the store's row;
   // nothing when the row already holds all of the copy. The reservation is
-  // final only if the store's row names this host as one of its peers, since
+  // final only if the store's row names this host, or a peer it stands for, as
   // only those hold every extension; otherwise totals alone are raised.
   std::optional<TableCommit> AdoptCommit(const std::string& key,
                                          const TableRow& current,
@@ -38,11 +44,12 @@
   void Expect(Month month, const HostIncarnation& vanished);
   bool contains(const std::string& key) const { return copies_.contains(key); }
   const UsageRow& copy(const std::string& key) const { return copies_.at(key); }
-  void Forget(const std::string& key) { copies_.erase(key); }
+  void Forget(const std::string& key);
 
  private:
   HostIncarnation own_;
   std::map<std::string, UsageRow> copies_;  // by row key
+  std::map<std::string, std::set<HostIncarnation>> stands_for_;
 };
 
 }  // namespace dogwood
--- a/Services/Entry/usage_service.cc
+++ b/Services/Entry/usage_service.cc
@@ -26,8 +26,13 @@
 }
 // Message bodies are built outside of coroutines: g++ 12 miscompiles braced
 // lists in expressions that wait.
-Json TotalsBody(const UsageRow& part, Incarnation to, bool is_stored) {
+Json TotalsBody(const UsageRow& part, Incarnation to, bool is_stored,
+                const std::set<HostIncarnation>& stands_for) {
+  Json list = Json::array();
+  for (const HostIncarnation& peer : stands_for)
+    list.push_back({peer.host.value(), peer.incarnation.value()});
   return {{"version", 1},
+          {"stands_for", std::move(list)},
           {"row", part.Encode()},
           {"stored", is_stored},
           {"to_incarnation", to.value()}};
@@ -179,8 +184,10 @@
   is_store_failing_ = is_failing;
   if (is_written) {
     const auto row = UsageRow::Parse(commit.puts.front().value);
+    const std::set<HostIncarnation> nobody;
     for (const HostIncarnation& peer : chosen)
-      co_await Send(peer, row.value(), Amount::kOneMessage, Origin::kStored);
+      co_await Send(peer, row.value(), Amount::kOneMessage, Origin::kStored,
+                    nobody);
   }
   co_return is_written;
 }
@@ -189,8 +196,10 @@
   const std::vector<HostIncarnation> named = ledger_.ExtensionPeers(month);
   if (named.empty()) co_return;
   const UsageRow row = ledger_.Snapshot(month, named, clock_.Wall());
+  const std::set<HostIncarnation> nobody;
   for (const HostIncarnation& peer : named) {
-    if (!co_await Send(peer, row, Amount::kEverything, Origin::kExtension))
+    if (!co_await Send(peer, row, Amount::kEverything, Origin::kExtension,
+                       nobody))
       co_return;
   }
   ledger_.Confirm(row);
@@ -198,7 +207,8 @@
 }
 
 asio::awaitable<bool> UsageService::Send(HostIncarnation peer, UsageRow row,
-                                         Amount amount, Origin origin) {
+                                         Amount amount, Origin origin,
+                                         std::set<HostIncarnation> stands_for) {
   // A restarted peer lost its copies, so only the named incarnation counts.
   const std::vector<Member> members = peers_.members();
   if (std::none_of(members.begin(), members.end(), [&](const Member& member) {
@@ -233,10 +243,13 @@
     }
     // Only the last part may say that the totals are exact.
     if (unsent > 0) part.state = UsageRowState::kRunning;
+    // Only a whole copy makes the peer stand for others.
+    std::set<HostIncarnation> vouched;
+    if (unsent == 0) vouched = stands_for;
+    Json body =
+        TotalsBody(part, peer.incarnation, origin == Origin::kStored, vouched);
     const Result<Json> reply = co_await peers_.Call(
-        peer.host, "usage-totals",
-        TotalsBody(part, peer.incarnation, origin == Origin::kStored),
-        options_.peer_timeout);
+        peer.host, "usage-totals", std::move(body), options_.peer_timeout);
     if (!reply || !reply.value().value("merged", false)) co_return false;
     PeerState& after = sent_[slot];
     for (const auto& [key, value] : part.use) after.held[key] = value;
@@ -270,6 +283,9 @@
       co_return MergeReply(false);
     }
     copies_.Merge(row.value());
+    for (const Json& peer : body.value("stands_for", Json::array()))
+      copies_.StandFor(key, {HostId(peer.at(0).get<std::string>()),
+                             Incarnation(peer.at(1).get<std::uint64_t>())});
     co_return MergeReply(true);
   } catch (const Json::exception& error) {
     co_return Fail(ErrorCode::kProtocol, error.what());
@@ -344,15 +360,21 @@
     co_await clock_.Sleep(options_.tick);
   }
   bool is_held = true;
+  const std::set<HostIncarnation> nobody;
   for (const Month month : ledger_.open_months()) {
     if (!ledger_.NeedsWrite(month)) continue;
     const UsageRow row = ledger_.Snapshot(month, {}, clock_.Wall());
-    const bool is_taken = co_await HandToMembers(row);
+    const bool is_taken = co_await HandToMembers(row, nobody);
     is_held = is_held && is_taken;
   }
-  for (const std::string& key : copies) {
-    if (!copies_.contains(key) || copies_.copy(key).use.empty()) continue;
-    const bool is_taken = co_await HandToMembers(copies_.copy(key));
+  // Copies of members still there too: once this host has stopped, they cannot
+  // extend their reservations beyond what it holds.
+  const std::vector<std::string> held = copies_.keys();
+  for (const std::string& key : held) {
+    if (!copies_.contains(key)) continue;
+    const UsageRow copy = copies_.copy(key);
+    const std::set<HostIncarnation> stands_for = copies_.StandsFor(key);
+    const bool is_taken = co_await HandToMembers(copy, stands_for);
     is_held = is_held && is_taken;
   }
   if (is_held) co_return outcome::success();
@@ -360,15 +382,17 @@
                  "neither store nor peers hold the final totals");
 }
 
-asio::awaitable<bool> UsageService::HandToMembers(UsageRow row) {
+asio::awaitable<bool> UsageService::HandToMembers(
+    UsageRow row, std::set<HostIncarnation> stands_for) {
   std::size_t holders = 0;
   const LiveIncarnations candidates = seen_;
   for (const HostIncarnation& member : candidates) {
     if (holders == kPeers) break;
     // What a member holds of another host's row is not tracked.
     sent_.erase({member, row.month});
-    if (co_await Send(member, row, Amount::kEverything, Origin::kExtension))
-      ++holders;
+    const bool is_taken = co_await Send(member, row, Amount::kEverything,
+                                        Origin::kExtension, stands_for);
+    if (is_taken) ++holders;
   }
   co_return holders > 0;
 }
--- a/Services/Entry/usage_service.h
+++ b/Services/Entry/usage_service.h
@@ -99,11 +99,13 @@
   boost::asio::awaitable<bool> WriteMonth(Month month);
   boost::asio::awaitable<void> Extend(Month month);
   boost::asio::awaitable<bool> Send(HostIncarnation peer, UsageRow row,
-                                    Amount amount, Origin origin);
+                                    Amount amount, Origin origin,
+                                    std::set<HostIncarnation> stands_for);
   boost::asio::awaitable<void> Adopt(Duration delay);
   boost::asio::awaitable<bool> AdoptOne(std::string key);
   // Gives a row to two other members, whichever accept it.
-  boost::asio::awaitable<bool> HandToMembers(UsageRow row);
+  boost::asio::awaitable<bool> HandToMembers(
+      UsageRow row, std::set<HostIncarnation> stands_for);
   void NoteMembers(const std::vector<Member>& members);
   boost::asio::awaitable<bool> WriteAll();
   boost::asio::awaitable<Result<nlohmann::json>> HandleTotals(
