--- a/Services/Entry/usage_service.cc
+++ b/Services/Entry/usage_service.cc
@@ -24,8 +24,13 @@
 }
 // Message bodies are built outside of coroutines: g++ 12 miscompiles braced
 // lists in expressions that wait.
-Json TotalsBody(const UsageRow& part, Incarnation to, bool is_stored) {
+Json TotalsBody(const UsageRow& part, Incarnation to, bool is_stored,
+                const std::set<HostIncarnation>& stands_for) {
+  Json list = Json::array();
+  for (const HostIncarnation& peer : stands_for)
+    list.push_back({peer.host.value(), peer.incarnation.value()});
   return {{"version", 1},
+          {"stands_for", std::move(list)},
           {"row", part.Encode()},
           {"stored", is_stored},
           {"to_incarnation", to.value()}};
@@ -66,12 +71,27 @@
       copies_(own_) {}
 
 void UsageService::Start() {
-  peers_.Handle("usage-totals", [this](HostId, Json body) {
+  peers_.Handle("usage-totals", [this](const HostId&, Json body) {
     return HandleTotals(std::move(body));
   });
+  peers_.AddMemberListener(
+      [this](const std::vector<Member>& members) { NoteMembers(members); });
+  NoteMembers(peers_.members());
   asio::co_spawn(executor_, Loop(), asio::detached);
 }
 
+void UsageService::NoteMembers(const std::vector<Member>& members) {
+  LiveIncarnations now;
+  for (const Member& member : members)
+    now.insert({member.host, member.incarnation});
+  for (const HostIncarnation& before : seen_) {
+    if (now.contains(before)) continue;
+    for (const Month month : ledger_.open_months())
+      copies_.Expect(month, before);
+  }
+  seen_ = std::move(now);
+}
+
 asio::awaitable<Result<void>> UsageService::Open(TimePoint deadline) {
   const Month month = MonthOf(clock_.Wall());
   ledger_.Open(month);
@@ -94,7 +114,7 @@
       if (!is_low && !(is_due && ledger_.NeedsWrite(month))) continue;
       if (!co_await WriteMonth(month)) co_await Extend(month);
     }
-    if (is_due) co_await Adopt();
+    if (is_due) co_await Adopt(options_.adopt_delay);
     co_await clock_.Sleep(options_.tick);
   }
 }
@@ -130,6 +150,7 @@
   std::sort(ranked.begin(), ranked.end());
   if (ranked.size() > kPeers) ranked.resize(kPeers);
   std::vector<HostIncarnation> chosen;
+  chosen.reserve(ranked.size());
   for (const auto& [rank, peer] : ranked) chosen.push_back(peer);
   return chosen;
 }
@@ -151,8 +172,10 @@
   is_store_failing_ = is_failing;
   if (is_written) {
     const auto row = UsageRow::Parse(commit.puts.front().value);
+    const std::set<HostIncarnation> nobody;
     for (const HostIncarnation& peer : chosen)
-      co_await Send(peer, row.value(), Amount::kOneMessage, Origin::kStored);
+      co_await Send(peer, row.value(), Amount::kOneMessage, Origin::kStored,
+                    nobody);
   }
   co_return is_written;
 }
@@ -161,8 +184,10 @@
   const std::vector<HostIncarnation> named = ledger_.ExtensionPeers(month);
   if (named.empty()) co_return;
   const UsageRow row = ledger_.Snapshot(month, named, clock_.Wall());
+  const std::set<HostIncarnation> nobody;
   for (const HostIncarnation& peer : named) {
-    if (!co_await Send(peer, row, Amount::kEverything, Origin::kExtension))
+    if (!co_await Send(peer, row, Amount::kEverything, Origin::kExtension,
+                       nobody))
       co_return;
   }
   ledger_.Confirm(row);
@@ -170,7 +195,8 @@
 }
 
 asio::awaitable<bool> UsageService::Send(HostIncarnation peer, UsageRow row,
-                                         Amount amount, Origin origin) {
+                                         Amount amount, Origin origin,
+                                         std::set<HostIncarnation> stands_for) {
   // A restarted peer lost its copies, so only the named incarnation counts.
   const std::vector<Member> members = peers_.members();
   if (std::none_of(members.begin(), members.end(), [&](const Member& member) {
@@ -205,10 +231,13 @@
     }
     // Only the last part may say that the totals are exact.
     if (unsent > 0) part.state = UsageRowState::kRunning;
+    // Only a whole copy makes the peer stand for others.
+    std::set<HostIncarnation> vouched;
+    if (unsent == 0) vouched = stands_for;
+    Json body =
+        TotalsBody(part, peer.incarnation, origin == Origin::kStored, vouched);
     const Result<Json> reply = co_await peers_.Call(
-        peer.host, "usage-totals",
-        TotalsBody(part, peer.incarnation, origin == Origin::kStored),
-        options_.peer_timeout);
+        peer.host, "usage-totals", std::move(body), options_.peer_timeout);
     if (!reply || !reply.value().value("merged", false)) co_return false;
     PeerState& after = sent_[slot];
     for (const auto& [key, value] : part.use) after.held[key] = value;
@@ -232,6 +261,8 @@
                      {{"error", row.error().message}});
       co_return row.error();
     }
+    // What this host holds is already on its way to others.
+    if (is_stopping_) co_return MergeReply(false);
     const std::string key = row.value().key();
     if (body.value("stored", false)) {
       adopted_.erase(key);
@@ -240,16 +271,18 @@
       co_return MergeReply(false);
     }
     copies_.Merge(row.value());
+    for (const Json& peer : body.value("stands_for", Json::array()))
+      copies_.StandFor(key, {HostId(peer.at(0).get<std::string>()),
+                             Incarnation(peer.at(1).get<std::uint64_t>())});
     co_return MergeReply(true);
   } catch (const Json::exception& error) {
     co_return Fail(ErrorCode::kProtocol, error.what());
   }
 }
 
-asio::awaitable<void> UsageService::Adopt() {
-  LiveIncarnations live{own_};
-  for (const Member& member : peers_.members())
-    live.insert({member.host, member.incarnation});
+asio::awaitable<void> UsageService::Adopt(Duration delay) {
+  LiveIncarnations live = seen_;
+  live.insert(own_);
   const std::vector<std::string> vanished = copies_.Vanished(live);
   std::erase_if(vanished_since_, [&vanished](const auto& entry) {
     return std::find(vanished.begin(), vanished.end(), entry.first) ==
@@ -259,30 +292,38 @@
   for (const std::string& key : vanished) {
     const TimePoint since =
         vanished_since_.try_emplace(key, clock_.Now()).first->second;
-    if (clock_.Now() < since + options_.adopt_delay || left == 0) continue;
+    if (clock_.Now() < since + delay || left == 0) continue;
     --left;
-    const Result<TableRow> row =
-        co_await store_.Read(key, options_.store_timeout);
-    if (!row) co_return;
-    const auto commit = copies_.AdoptCommit(key, row.value(), clock_.Wall());
-    if (!commit) {
+    const bool is_stored = co_await AdoptOne(key);
+    if (is_stored && clock_.Now() >= since + options_.forget_delay)
       copies_.Forget(key);
-      continue;
-    }
-    adopted_.insert(key);
-    const CommitResult result =
-        co_await store_.Commit(*commit, options_.store_timeout);
-    if (std::holds_alternative<Committed>(result))
-      events_.Record(EventId::kUsageAdopted, {{"row", key}});
   }
 }
 
+asio::awaitable<bool> UsageService::AdoptOne(std::string key) {
+  const Result<TableRow> row =
+      co_await store_.Read(key, options_.store_timeout);
+  if (!row) co_return false;
+  // Another adoption may have forgotten it meanwhile.
+  if (!copies_.contains(key)) co_return true;
+  const auto commit = copies_.AdoptCommit(key, row.value(), clock_.Wall());
+  if (!commit) co_return true;
+  adopted_.insert(key);
+  const CommitResult result =
+      co_await store_.Commit(*commit, options_.store_timeout);
+  if (!std::holds_alternative<Committed>(result)) co_return false;
+  events_.Record(EventId::kUsageAdopted, {{"row", key}});
+  co_return true;
+}
+
 asio::awaitable<bool> UsageService::WriteAll() {
   bool is_all_written = true;
   for (const Month month : ledger_.open_months()) {
-    if (ledger_.NeedsWrite(month) && !co_await WriteMonth(month) &&
-        !co_await WriteMonth(month))
-      is_all_written = false;
+    // The first write may only find out what the row holds.
+    bool is_written = !ledger_.NeedsWrite(month);
+    for (int attempt = 0; attempt < 2 && !is_written; ++attempt)
+      is_written = co_await WriteMonth(month);
+    is_all_written = is_all_written && is_written;
   }
   co_return is_all_written;
 }
@@ -290,27 +331,60 @@
 asio::awaitable<Result<void>> UsageService::Flush(TimePoint deadline) {
   is_stopping_ = true;
   ledger_.Close();
+  std::set<std::string> copies;
+  LiveIncarnations live = seen_;
+  live.insert(own_);
+  for (const std::string& key : copies_.Vanished(live)) copies.insert(key);
   while (true) {
-    if (co_await WriteAll() && ledger_.is_written())
-      co_return outcome::success();
+    bool is_written = co_await WriteAll();
+    is_written = is_written && ledger_.is_written();
+    const std::set<std::string> unstored = copies;
+    for (const std::string& key : unstored) {
+      const bool is_stored = co_await AdoptOne(key);
+      if (is_stored) copies.erase(key);
+    }
+    if (is_written && copies.empty()) co_return outcome::success();
     if (clock_.Now() >= deadline) break;
     co_await clock_.Sleep(options_.tick);
   }
   bool is_held = true;
+  const std::set<HostIncarnation> nobody;
   for (const Month month : ledger_.open_months()) {
-    const std::vector<HostIncarnation> named = ledger_.ExtensionPeers(month);
-    const UsageRow row = ledger_.Snapshot(month, named, clock_.Wall());
-    if (named.empty()) is_held = false;
-    for (const HostIncarnation& peer : named)
-      is_held =
-          co_await Send(peer, row, Amount::kEverything, Origin::kExtension) &&
-          is_held;
+    if (!ledger_.NeedsWrite(month)) continue;
+    const UsageRow row = ledger_.Snapshot(month, {}, clock_.Wall());
+    const bool is_taken = co_await HandToMembers(row, nobody);
+    is_held = is_held && is_taken;
+  }
+  // Copies of members still there too: once this host has stopped, they cannot
+  // extend their reservations beyond what it holds.
+  const std::vector<std::string> held = copies_.keys();
+  for (const std::string& key : held) {
+    if (!copies_.contains(key)) continue;
+    const UsageRow copy = copies_.copy(key);
+    const std::set<HostIncarnation> stands_for = copies_.StandsFor(key);
+    const bool is_taken = co_await HandToMembers(copy, stands_for);
+    is_held = is_held && is_taken;
   }
   if (is_held) co_return outcome::success();
   co_return Fail(ErrorCode::kUnavailable,
                  "neither store nor peers hold the final totals");
 }
 
+asio::awaitable<bool> UsageService::HandToMembers(
+    UsageRow row, std::set<HostIncarnation> stands_for) {
+  std::size_t holders = 0;
+  const LiveIncarnations candidates = seen_;
+  for (const HostIncarnation& member : candidates) {
+    if (holders == kPeers) break;
+    // What a member holds of another host's row is not tracked.
+    sent_.erase({member, row.month});
+    const bool is_taken = co_await Send(member, row, Amount::kEverything,
+                                        Origin::kExtension, stands_for);
+    if (is_taken) ++holders;
+  }
+  co_return holders > 0;
+}
+
 asio::awaitable<Result<std::vector<TableRow>>> UsageService::ReadRows(
     Month month, LiveIncarnations confirmed) {
   std::map<std::string, TableRow> rows;
