--- a/Libraries/Routing/backend_life_cycle.cc
+++ b/Libraries/Routing/backend_life_cycle.cc
@@ -40,6 +40,7 @@
   using initial_state = Unknown;
 
   // clang-format off
+  // NOLINTNEXTLINE(readability-identifier-naming): Boost.MSM asks for the name
   struct transition_table : mpl::vector<
       Row<Unknown, StartAs<BackendState::kCold>, Cold, none, none>,
       Row<Unknown, StartAs<BackendState::kFull>, Full, none, none>,
--- a/Tests/Benchmarks/routing_model.cc
+++ b/Tests/Benchmarks/routing_model.cc
@@ -56,7 +56,7 @@
     }
   }
 
-  void Arrivals(double rate, std::function<void()> on_arrival) {
+  void Arrivals(double rate, const std::function<void()>& on_arrival) {
     const double gap = std::exponential_distribution<double>(rate)(engine);
     events.After(std::chrono::duration_cast<Duration>(
                      std::chrono::duration<double>(gap)),
--- a/Tests/Libraries/Routing/fleet_model.cc
+++ b/Tests/Libraries/Routing/fleet_model.cc
@@ -7,8 +7,6 @@
 namespace dogwood {
 namespace {
 
-// Mean speed with slow phases: 4/5 full speed, 1/5 a third of it.
-constexpr double kMeanSpeed = 0.8 + 0.2 / 3;
 constexpr Duration kTick = std::chrono::milliseconds(20);
 constexpr Duration kPing = std::chrono::milliseconds(250);
 
@@ -19,40 +17,6 @@
 
 }  // namespace
 
-double ArrivalRate(const FleetModelOptions& options, double load) {
-  const bool is_slowed =
-      options.has_slow_phases && !options.is_load_of_full_speed;
-  const double speed = is_slowed ? kMeanSpeed : 1;
-  const double mean_seconds =
-      (1 - options.long_fraction) * options.mean_service_ms / 1000 +
-      options.long_fraction *
-          std::chrono::duration<double>(options.long_service).count();
-  return load * options.servers * options.slots * speed / mean_seconds /
-         options.hosts;
-}
-
-double QuantileOf(std::vector<float>& values, double quantile) {
-  if (values.empty()) return 0;
-  const auto rank = static_cast<std::size_t>(
-      quantile * static_cast<double>(values.size() - 1));
-  std::nth_element(values.begin(),
-                   values.begin() + static_cast<std::ptrdiff_t>(rank),
-                   values.end());
-  return values[rank];
-}
-
-Duration DrawServiceTime(const FleetModelOptions& options,
-                         std::mt19937_64& engine) {
-  if (options.long_fraction > 0 &&
-      std::bernoulli_distribution(options.long_fraction)(engine)) {
-    return options.long_service;
-  }
-  const double mu = std::log(options.mean_service_ms / 1000) -
-                    options.sigma * options.sigma / 2;
-  return FromSeconds(
-      std::lognormal_distribution<double>(mu, options.sigma)(engine));
-}
-
 FleetModel::FleetModel(const FleetModelOptions& options)
     : options_(options), engine_(options.seed), hosts_(options.hosts) {
   for (std::uint32_t server = 0; server < options.servers; ++server) {
@@ -61,7 +25,7 @@
     servers_.back()->set_slow_phases(options.has_slow_phases);
     zone_slots_.push_back(options.slots);
   }
-  slot_users_.assign(options.servers * kMaximumSlots, 0);
+  slot_users_.assign(std::size_t{options.servers} * kMaximumSlots, 0);
   std::set<std::uint32_t> all;
   for (std::uint32_t host = 0; host < options.hosts; ++host) all.insert(host);
   for (std::uint32_t host = 0; host < options.hosts; ++host) {
--- a/Tests/Libraries/Routing/permit_table_test.cc
+++ b/Tests/Libraries/Routing/permit_table_test.cc
@@ -18,7 +18,7 @@
     permits.AddServer(NameHash("server"), slots);
     permits.SetUsable(0, slots);
   }
-  void Apply(std::vector<HostIndex> alive) {
+  void Apply(const std::vector<HostIndex>& alive) {
     permits.ApplyHosts(hashes, alive, 0, now, handovers);
   }
   void Pass(Duration time) {
--- a/Tests/Libraries/Routing/router_differential_test.cc
+++ b/Tests/Libraries/Routing/router_differential_test.cc
@@ -170,7 +170,7 @@
       }
       RC_ASSERT(router.queue_length() == naive.queue.size());
       RC_ASSERT(router.permits().free_permits() ==
-                kServers * kSlots - held.size());
+                std::size_t{kServers} * kSlots - held.size());
     }
   }));
 }
