--- a/Tests/Libraries/Routing/fleet_model.cc
+++ b/Tests/Libraries/Routing/fleet_model.cc
@@ -337,9 +337,13 @@
     const TimePoint sent = events_.now();
     // One random member is pinged; it answers when it counts this host as
     // alive.
-    const std::set<std::uint32_t>& view = hosts_[host].view;
-    const std::uint32_t peer = *std::next(
-        view.begin(), static_cast<std::ptrdiff_t>(engine_() % view.size()));
+    std::set<std::uint32_t> peers = hosts_[host].view;
+    peers.erase(host);
+    const std::uint32_t peer =
+        peers.empty()
+            ? host
+            : *std::next(peers.begin(),
+                         static_cast<std::ptrdiff_t>(engine_() % peers.size()));
     events_.After(options_.latency, [this, host, peer, incarnation, sent] {
       const Host& other = hosts_[peer];
       if (peer == host || !other.is_running || !other.view.contains(host) ||
