Entry: Follow the lint rules

Cause: clang-tidy named 9 findings in the request path and its tests. Change: wide constants, reserved vector, reasons for names MSM prescribes. Measured: not rebuilt or linted again at the time of this commit. Conclusion: one finding is left, a string literal list in relay_test.cc.

--- a/Services/Entry/attempt_life_cycle.cc
+++ b/Services/Entry/attempt_life_cycle.cc
@@ -38,6 +38,7 @@
   using Row = msm::front::Row<In<kFrom>, On<kEvent>, In<kTo>>;
 
   // clang-format off
+  // NOLINTNEXTLINE(readability-identifier-naming): MSM looks it up
   struct transition_table : mpl::vector<
       Row<Phase::kPlaced, Event::kConnected, Phase::kReady>,
       Row<Phase::kPlaced, Event::kConnectFailed, Phase::kConnectFailed>,
--- a/Services/Entry/backend_connection.h
+++ b/Services/Entry/backend_connection.h
@@ -41,7 +41,7 @@
 
  private:
   // Large bodies move in pieces of this size.
-  static constexpr std::size_t kInputBytes = 64U * 1024U;
+  static constexpr std::size_t kInputBytes = std::size_t{64} * 1024;
 
   boost::asio::ip::tcp::socket socket_;
   ByteBuffer input_{kInputBytes};
--- a/Services/Entry/caller_stream.h
+++ b/Services/Entry/caller_stream.h
@@ -35,7 +35,7 @@
   boost::asio::ip::tcp::socket& socket() { return socket_; }
 
  private:
-  static constexpr std::size_t kInputBytes = 64U * 1024U;
+  static constexpr std::size_t kInputBytes = std::size_t{64} * 1024;
 
   boost::asio::ip::tcp::socket socket_;
   ByteBuffer input_{kInputBytes};
--- a/Services/Entry/entry_settings.cc
+++ b/Services/Entry/entry_settings.cc
@@ -13,7 +13,7 @@
 using Endpoint = boost::asio::ip::tcp::endpoint;
 
 constexpr std::uint64_t kMostWorkers = 64;
-constexpr std::uint64_t kLongestStopSeconds = 24 * 3600;
+constexpr std::uint64_t kLongestStopSeconds = std::uint64_t{24} * 3600;
 
 constexpr NameTable<EventLevel, 4> kLevelNames{{{
     {EventLevel::kDebug, "debug"},
--- a/Services/Entry/host_life_cycle.cc
+++ b/Services/Entry/host_life_cycle.cc
@@ -43,6 +43,7 @@
   using Row = msm::front::Row<In<kFrom>, On<kEvent>, In<kTo>, Action, None>;
 
   // clang-format off
+  // NOLINTNEXTLINE(readability-identifier-naming): MSM looks it up
   struct transition_table : mpl::vector<
       Row<Phase::kStarting, Event::kStarted, Phase::kServing>,
       Row<Phase::kStarting, Event::kStopRequested, Phase::kStopped>,
--- a/Services/Entry/message_parser.h
+++ b/Services/Entry/message_parser.h
@@ -30,7 +30,7 @@
 class MessageParser {
  public:
   // Greatest size of start line and fields together.
-  static constexpr std::size_t kHeadLimitBytes = 16U * 1024U;
+  static constexpr std::size_t kHeadLimitBytes = std::size_t{16} * 1024;
 
   struct Step {
     std::size_t consumed = 0;  // bytes of the input that are done with
--- a/Services/Entry/request_exchange.cc
+++ b/Services/Entry/request_exchange.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Bodies up to this size are held in memory, so that they can be sent again.
-constexpr std::size_t kReplayableBodyBytes = 64U * 1024U;
+constexpr std::size_t kReplayableBodyBytes = std::size_t{64} * 1024;
 // Further attempts beyond this would only add load to a failing service.
 constexpr int kMostAttempts = 3;
 // A backend server that does not answer a connection request within this time
--- a/Tests/Services/Entry/entry_host_test.cc
+++ b/Tests/Services/Entry/entry_host_test.cc
@@ -215,6 +215,7 @@
   const auto parse = [](std::vector<std::string> words) {
     words.insert(words.begin(), "dogwood-entry");
     std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
     for (std::string& word : words) arguments.push_back(word.data());
     arguments.push_back(nullptr);
     return CommandLine::Parse(static_cast<int>(words.size()), arguments.data());
