PeerLink: Break the ownership cycle between server and connections

Cause: entry_test under AddressSanitizer reported 1.2 MB leaked: the server's state owned its connections and each of them the state, so connections that were open when the io_context ended were never freed. Two tests used memory after its end (a pointer into a temporary view, a timer outliving its loop). Change: the state refers to connections without owning them; the tests are corrected; two lint findings fixed.

--- a/Libraries/Membership/member_table.cc
+++ b/Libraries/Membership/member_table.cc
@@ -18,7 +18,7 @@
 
 std::uint32_t HashOf(const MemberRecord& record) {
   const std::uint64_t seed =
-      record.incarnation.value() * 31 + record.refutations * 2 +
+      record.incarnation.value() * 31 + std::uint64_t{record.refutations} * 2 +
       static_cast<std::uint64_t>(record.is_leaving() ? 1 : 0);
   const std::string& host = record.host.value();
   return static_cast<std::uint32_t>(
--- a/Libraries/PeerLink/peer_server.cc
+++ b/Libraries/PeerLink/peer_server.cc
@@ -52,7 +52,8 @@
   std::string version;
   Handler handler;
   std::shared_ptr<LinkCounters> counters;
-  std::set<std::shared_ptr<Connection>> connections;
+  // Each is kept alive by its read operation and takes itself out.
+  std::set<Connection*> connections;
   bool is_stopping = false;
 };
 
@@ -64,7 +65,13 @@
             {.message_bytes = state->options.message_bytes,
              .concurrent_streams = state->options.concurrent_streams},
             state->counters),
-        state_(std::move(state)) {}
+        state_(std::move(state)) {
+    state_->connections.insert(this);
+  }
+  // Not closed when the io_context drops it.
+  ~Connection() override { state_->connections.erase(this); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
 
  private:
   void OnMessage(Message message) override {
@@ -77,10 +84,7 @@
                    asio::detached);
   }
   void OnLoss(std::uint64_t, Loss) override {}
-  void OnClosed() override {
-    state_->connections.erase(
-        std::static_pointer_cast<Connection>(shared_from_this()));
-  }
+  void OnClosed() override { state_->connections.erase(this); }
 
   static asio::awaitable<void> Run(std::shared_ptr<Connection> self,
                                    std::int32_t stream, PeerRequest request) {
@@ -160,7 +164,6 @@
         if (self->connections.size() < self->options.connections) {
           const auto connection =
               std::make_shared<Connection>(std::move(socket), self);
-          self->connections.insert(connection);
           connection->Start();
         }
         self->Accept();
@@ -174,7 +177,7 @@
         if (error || self->is_stopping) return;
         const TimePoint oldest = MonotonicNow() - self->options.idle_timeout;
         const auto connections = self->connections;
-        for (const auto& connection : connections) {
+        for (Connection* const connection : connections) {
           if (connection->newest_receipt() < oldest) connection->Close();
         }
         self->Sweep();
@@ -220,7 +223,7 @@
 }
 
 void PeerServer::AddSegments(LinkCounters& counters) const {
-  for (const auto& connection : state_->connections)
+  for (Connection* const connection : state_->connections)
     connection->AddSegments(counters);
 }
 
@@ -230,7 +233,7 @@
   boost::system::error_code ignored;
   state_->acceptor.close(ignored);
   state_->timer.cancel();
-  for (const auto& connection : state_->connections) connection->Drain();
+  for (Connection* const connection : state_->connections) connection->Drain();
 }
 
 }  // namespace dogwood
--- a/Tests/Libraries/Membership/scripted_network.h
+++ b/Tests/Libraries/Membership/scripted_network.h
@@ -170,7 +170,7 @@
   }
 
   void SendPing(std::size_t from, std::size_t to,
-                std::function<void()> on_answer) {
+                const std::function<void()>& on_answer) {
     MemberTable& sender = *hosts_[from].table;
     const Ping ping = sender.MakePing(IdOf(to), now_);
     const Incarnation incarnation = sender.self().incarnation;
--- a/Tests/Libraries/PeerLink/peer_link_test.cc
+++ b/Tests/Libraries/PeerLink/peer_link_test.cc
@@ -201,6 +201,7 @@
     CHECK(other.has_value());
     gate->cancel();
   });
+  gate.reset();  // before the loop it belongs to
   CHECK(link.counters->connections_opened == 2);
 }
 
@@ -238,6 +239,7 @@
       co_await turn.async_wait(asio::use_awaitable);
     }
   });
+  gate.reset();  // before the loop it belongs to
   CHECK(was_answered);
 }
 
--- a/Tests/Services/Entry/peer_exchange_test.cc
+++ b/Tests/Services/Entry/peer_exchange_test.cc
@@ -77,12 +77,12 @@
     });
   }
 
-  static const Member* Find(const std::vector<Member>& members,
-                            const std::string& host) {
+  static std::optional<Member> Find(const std::vector<Member>& members,
+                                    const std::string& host) {
     for (const Member& member : members) {
-      if (member.host == HostId(host)) return &member;
+      if (member.host == HostId(host)) return member;
     }
-    return nullptr;
+    return std::nullopt;
   }
 
   asio::io_context io{1};
@@ -194,8 +194,8 @@
   CHECK(fleet.Await(Fleet::LeaveAndTell(second)));
   // A ping that timed out on a loaded machine is made up for by gossip.
   fleet.RunUntil([&] {
-    const Member* const member = Fleet::Find(first.members(), "b");
-    return member != nullptr && member->state == MemberState::kLeaving;
+    const auto member = Fleet::Find(first.members(), "b");
+    return member && member->state == MemberState::kLeaving;
   });
   CHECK(Fleet::Find(first.members(), "b")->state == MemberState::kLeaving);
 }
@@ -208,12 +208,12 @@
   fleet.Add("c");
   fleet.RunUntilAllKnown();
   fleet.exchanges.at("c")->Stop();
-  fleet.RunUntil([&] { return Fleet::Find(first.members(), "c") == nullptr; });
+  fleet.RunUntil([&] { return !Fleet::Find(first.members(), "c"); });
   const auto stopped = std::move(fleet.exchanges.at("c"));
   fleet.Add("c", 2);
   fleet.RunUntil([&] {
-    const Member* const member = Fleet::Find(first.members(), "c");
-    return member != nullptr && member->incarnation == Incarnation(2);
+    const auto member = Fleet::Find(first.members(), "c");
+    return member && member->incarnation == Incarnation(2);
   });
   CHECK(Fleet::Find(first.members(), "c")->incarnation == Incarnation(2));
 }
@@ -226,7 +226,7 @@
   fleet.Add("c", 1, second.peer_address());
   first.Handle("tell", TellSender);
   second.Handle("tell", TellSender);
-  fleet.RunUntil([&] { return Fleet::Find(first.members(), "c") != nullptr; });
+  fleet.RunUntil([&] { return Fleet::Find(first.members(), "c").has_value(); });
   const auto reply =
       fleet.Await(first.Call(HostId("c"), "tell", 1, kLongTimeout));
   REQUIRE(reply.has_error());
