Settings: Leave reading the process settings file to the caller

Cause: check_includes refuses file I/O in decision libraries. Change: ProcessSettings has Parse only. Measured: check_includes failed before; the library builds after.

--- a/Libraries/Settings/process_settings.cc
+++ b/Libraries/Settings/process_settings.cc
@@ -1,8 +1,6 @@
 #include "Libraries/Settings/process_settings.h"
 
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 #include "Libraries/Settings/setting_keys.h"
 #include "Libraries/Settings/settings_tree.h"
@@ -55,13 +53,4 @@
   return settings;
 }
 
-Result<ProcessSettings> ProcessSettings::ReadFile(const std::string& file) {
-  std::ifstream stream(file);
-  if (!stream.is_open())
-    return Fail(ErrorCode::kIo, file + ": cannot be opened");
-  std::stringstream text;
-  text << stream.rdbuf();
-  return Parse(text.str(), file);
-}
-
 }  // namespace dogwood
--- a/Libraries/Settings/process_settings.h
+++ b/Libraries/Settings/process_settings.h
@@ -23,11 +23,10 @@
   std::string log_level = "info";
   std::chrono::seconds stop_deadline{300};
 
-  // Fails with kInvalidArgument and "FILE: PATH: found ..., allowed ...".
+  // `file` is the name that messages show. Fails with kInvalidArgument and
+  // "FILE: PATH: found ..., allowed ...".
   static Result<ProcessSettings> Parse(std::string_view json,
                                        const std::string& file);
-  // Fails with kIo when the file cannot be read.
-  static Result<ProcessSettings> ReadFile(const std::string& file);
 };
 
 }  // namespace dogwood
