--- a/Tests/Services/Entry/claim_coordinator_test.cc
+++ b/Tests/Services/Entry/claim_coordinator_test.cc
@@ -315,7 +315,7 @@
   ClaimClient client(schedule.running[0]->coordinator,
                      schedule.world.io.get_executor());
   asio::io_context caller;
-  std::optional<ClaimDecision> decision;
+  std::optional<ClaimReply> decision;
   std::thread::id resumed_on;
   // Virtual time runs while the other thread starts, so the deadline is far.
   const TimePoint deadline = schedule.world.now + std::chrono::hours(10000);
