Routing: Share slots equally and keep lent permits of crossed cancellations

Cause: 18 hosts at 70% load had a p99 of 1.4 s with borrowing and 0.14 s without. A cancellation that crossed a grant ended the borrow at the lender, the grant was dropped, and the permit stayed out until the lender asked for it 2 s later. Plain rendezvous hashing also gave some hosts 4 and others 16 of 180 slots, so these hosts borrowed for most requests. Change: a cancellation ends a borrow only while it is parked; a permit lent before it reaches the borrower, which returns it. Slots are assigned with bounded loads, at most an equal share for each host. Waiting borrows of vanished hosts end.

--- a/Libraries/Routing/parked_borrows.cc
+++ b/Libraries/Routing/parked_borrows.cc
@@ -45,17 +45,18 @@
   pool_.Remove(index);
 }
 
-void ParkedBorrows::Cancel(HostIndex from, std::uint64_t borrow_id) {
-  if (buckets_.empty()) return;
+bool ParkedBorrows::Cancel(HostIndex from, std::uint64_t borrow_id) {
+  if (buckets_.empty()) return false;
   std::uint32_t index = buckets_[BucketOf(from, borrow_id)];
   while (index != kNoIndex) {
     const Item& item = pool_[index];
     if (item.borrow.from == from && item.borrow.borrow_id == borrow_id) {
       Remove(index);
-      return;
+      return true;
     }
     index = item.next_in_bucket;
   }
+  return false;
 }
 
 void ParkedBorrows::CancelAllOf(HostIndex from) {
--- a/Libraries/Routing/parked_borrows.h
+++ b/Libraries/Routing/parked_borrows.h
@@ -27,7 +27,8 @@
   using Key = std::tuple<AgreementClass, TimePoint>;
 
   void Park(const BorrowRequest& borrow, TimePoint expires);
-  void Cancel(HostIndex from, std::uint64_t borrow_id);
+  // False when the borrow is not parked.
+  bool Cancel(HostIndex from, std::uint64_t borrow_id);
   // Drops the borrows of a host.
   void CancelAllOf(HostIndex from);
   // Appends the expired ones to `expired` and drops them.
--- a/Libraries/Routing/permit_table.cc
+++ b/Libraries/Routing/permit_table.cc
@@ -4,6 +4,7 @@
 #include <bit>
 
 #include "Libraries/Routing/rendezvous.h"
+#include "Libraries/Routing/slot_assignment.h"
 
 namespace dogwood {
 
@@ -94,6 +95,27 @@
                           .generation = entry.generation});
 }
 
+std::vector<HostIndex> PermitTable::AssignOwners(
+    const std::vector<std::uint64_t>& name_hashes,
+    const std::vector<HostIndex>& alive) const {
+  std::vector<AssignableSlot> assignable;
+  std::vector<std::size_t> places;
+  for (const Server& server : servers_) {
+    for (std::uint32_t slot = 0; slot < server.slots; ++slot) {
+      assignable.push_back({server.name_hash, slot});
+      places.push_back(server.first_slot + slot);
+    }
+  }
+  std::vector<AssignableHost> hosts;
+  for (const HostIndex host : alive) hosts.push_back({name_hashes[host], host});
+  const std::vector<HostIndex> assigned = AssignSlots(assignable, hosts);
+  std::vector<HostIndex> owners(slots_.size(), kNoIndex);
+  for (std::size_t i = 0; i < places.size(); ++i) {
+    owners[places[i]] = assigned[i];
+  }
+  return owners;
+}
+
 void PermitTable::ApplyHosts(const std::vector<std::uint64_t>& name_hashes,
                              const std::vector<HostIndex>& alive,
                              HostIndex self, TimePoint now,
@@ -102,24 +124,14 @@
   std::vector<bool> is_alive(name_hashes.size(), false);
   for (const HostIndex host : alive) is_alive[host] = true;
   permits_of_host_.assign(name_hashes.size(), 0);
+  const std::vector<HostIndex> owners = AssignOwners(name_hashes, alive);
   for (ServerIndex index = 0; index < servers_.size(); ++index) {
     Server& server = servers_[index];
     std::uint64_t orphaned = 0;
     for (std::uint32_t slot = 0; slot < server.slot_capacity; ++slot) {
       Slot& entry = slots_[server.first_slot + slot];
       const std::uint64_t bit = std::uint64_t{1} << slot;
-      HostIndex owner = kNoIndex;
-      std::uint64_t best = 0;
-      if (slot < server.slots) {
-        for (const HostIndex host : alive) {
-          const std::uint64_t weight =
-              RendezvousWeight(name_hashes[host], server.name_hash, slot);
-          if (owner == kNoIndex || weight > best) {
-            owner = host;
-            best = weight;
-          }
-        }
-      }
+      const HostIndex owner = owners[server.first_slot + slot];
       if (entry.busy_host != kNoIndex && !is_alive[entry.busy_host]) {
         entry.busy_host = kNoIndex;
         server.elsewhere &= ~bit;
--- a/Libraries/Routing/permit_table.h
+++ b/Libraries/Routing/permit_table.h
@@ -109,6 +109,10 @@
   std::size_t bytes() const;
 
  private:
+  // Owner of each place in slots_.
+  std::vector<HostIndex> AssignOwners(
+      const std::vector<std::uint64_t>& name_hashes,
+      const std::vector<HostIndex>& alive) const;
   struct Server {
     std::uint64_t name_hash = 0;
     std::uint64_t owned = 0;      // by this host in the current view
--- a/Libraries/Routing/service_router.h
+++ b/Libraries/Routing/service_router.h
@@ -57,7 +57,9 @@
   // Answers with kLend or kRefuseBorrow now or by a later call.
   void OnBorrow(const BorrowRequest& borrow, TimePoint now,
                 RouterActions& actions);
-  void OnBorrowCancelled(HostIndex from, std::uint64_t borrow_id);
+  // True when the borrow was parked and is now forgotten. When false, its
+  // kLend or kRefuseBorrow is already among the actions and still counts.
+  bool OnBorrowCancelled(HostIndex from, std::uint64_t borrow_id);
   // `permit` is the one of the peer's kReturnPermit, with its borrow id.
   void OnPermitReturned(HostIndex from, const Permit& permit, TimePoint now,
                         RouterActions& actions);
--- a/Libraries/Routing/service_router_borrowing.cc
+++ b/Libraries/Routing/service_router_borrowing.cc
@@ -83,8 +83,8 @@
   parked_.Park(borrow, now + options_.borrow_timeout);
 }
 
-void ServiceRouter::OnBorrowCancelled(HostIndex from, std::uint64_t borrow_id) {
-  parked_.Cancel(from, borrow_id);
+bool ServiceRouter::OnBorrowCancelled(HostIndex from, std::uint64_t borrow_id) {
+  return parked_.Cancel(from, borrow_id);
 }
 
 bool ServiceRouter::TakeBack(HostIndex from, const Permit& permit) {
--- a/Services/Entry/permit_dispatcher.h
+++ b/Services/Entry/permit_dispatcher.h
@@ -96,6 +96,7 @@
   // permit_dispatcher_peers.cc
   void RegisterHandlers();
   void ApplyMembers();
+  void ForgetVanishedBorrowers();
   template <typename Call>
   void WithService(const nlohmann::json& body, Call call);
   boost::asio::awaitable<Result<nlohmann::json>> HandleBorrow(
--- a/Services/Entry/permit_dispatcher_peers.cc
+++ b/Services/Entry/permit_dispatcher_peers.cc
@@ -108,6 +108,23 @@
   timer_.cancel();
 }
 
+// The router drops parked borrows of hosts that are gone without an answer.
+void PermitDispatcher::ForgetVanishedBorrowers() {
+  std::vector<std::shared_ptr<BorrowAnswer>> vanished;
+  std::erase_if(borrow_answers_, [&](const auto& item) {
+    if (std::binary_search(live_hosts_.begin(), live_hosts_.end(),
+                           item.first.first)) {
+      return false;
+    }
+    vanished.push_back(item.second);
+    return true;
+  });
+  for (const auto& answer : vanished) {
+    answer->is_cancelled = true;
+    answer->signal.Notify();
+  }
+}
+
 void PermitDispatcher::SetHostList(const HostListView& view) {
   const bool has_changed = view.has_other_hosts != host_list_.has_other_hosts;
   host_list_ = view;
@@ -128,6 +145,7 @@
     }
   }
   std::sort(live_hosts_.begin(), live_hosts_.end());
+  ForgetVanishedBorrowers();
   probe_budget_.ApplyHosts(live_hosts_, options_.host, lease_rule, now);
   const ZoneLimits limits(fleet_);
   std::vector<ServicePlacement*> placements;
@@ -392,13 +410,18 @@
       "borrow-cancel",
       [this](HostId from, Json body) -> asio::awaitable<Result<Json>> {
         const std::uint64_t id = body.value("borrow", std::uint64_t{0});
+        bool was_parked = false;
         WithService(body,
                     [&](ServiceRouter& router, TimePoint, RouterActions&) {
                       const HostIndex host = router.host_index(from);
-                      if (host != kNoIndex) router.OnBorrowCancelled(host, id);
+                      if (host == kNoIndex) return;
+                      was_parked = router.OnBorrowCancelled(host, id);
                     });
+        // A permit that was lent before the cancellation arrived must reach the
+        // borrower, which returns it; otherwise it stays out until the lender
+        // asks for it seconds later.
         const auto found = borrow_answers_.find({from, id});
-        if (found != borrow_answers_.end()) {
+        if (was_parked && found != borrow_answers_.end()) {
           const std::shared_ptr<BorrowAnswer> answer = found->second;
           borrow_answers_.erase(found);
           answer->is_cancelled = true;
