--- /dev/null
+++ b/Tests/Services/Entry/permit_dispatcher_test.cc
@@ -0,0 +1,177 @@
+#include "Services/Entry/permit_dispatcher.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace dogwood {
+namespace {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+// The only other host, played by the test: it sends messages by calling the
+// dispatcher's handlers, and never answers.
+class ScriptedPeer : public PeerChannel {
+ public:
+  std::vector<Member> members() const override {
+    Member member;
+    member.host = HostId("b");
+    return {member};
+  }
+  void AddMemberListener(MemberListener) override {}
+  TimePoint newest_acknowledgement() const override { return MonotonicNow(); }
+  void Handle(std::string kind, Handler handler) override {
+    handlers_[std::move(kind)] = std::move(handler);
+  }
+  asio::awaitable<Result<Json>> Call(HostId, std::string, Json,
+                                     Duration) override {
+    co_return Fail(ErrorCode::kUnavailable, "the peer does not answer");
+  }
+  void Broadcast(std::string, Json) override {}
+  void AddPiggyback(std::string, PiggybackSource, PiggybackSink) override {}
+
+  // Runs a handler; `answer` is set when it has answered.
+  void Send(asio::io_context& context, const std::string& kind, Json body,
+            std::optional<Json>& answer) {
+    asio::co_spawn(context, Run(handlers_.at(kind), std::move(body), answer),
+                   asio::detached);
+  }
+
+ private:
+  static asio::awaitable<void> Run(Handler handler, Json body,
+                                   std::optional<Json>& answer) {
+    HostId from("b");
+    const Result<Json> result =
+        co_await handler(std::move(from), std::move(body));
+    answer = result.has_value() ? result.value() : Json();
+  }
+
+  std::map<std::string, Handler> handlers_;
+};
+
+FleetConfiguration OneServerFleet() {
+  auto fleet = FleetConfiguration::Parse(
+      R"({"services": {"s": {"servers": {"s-1":
+            {"address": "127.0.0.1:9", "zone": "z", "slots": 2}}}},
+          "zones": {"z": {}}})");
+  VERIFY(fleet.has_value());
+  return std::move(fleet).value();
+}
+
+Json BorrowOf(int id) {
+  return {{"service", "s"}, {"borrow", id}, {"age_us", 0}};
+}
+
+// A dispatcher that owns one of two slots of a server.
+class Lender {
+ public:
+  Lender() {
+    const Result<void> applied = dispatcher.Apply(OneServerFleet());
+    VERIFY(applied.has_value());
+    dispatcher.Start();
+    // Permits are usable after the takeover delay.
+    while (!grant.has_value()) TryAcquire();
+  }
+  ~Lender() {
+    dispatcher.Stop();
+    context.restart();
+    context.poll();
+  }
+
+  void TryAcquire() {
+    RequestAttributes request;
+    request.service = ServiceId("s");
+    request.arrival = MonotonicNow();
+    request.deadline = request.arrival + std::chrono::milliseconds(100);
+    bool has_ended = false;
+    asio::co_spawn(context, Acquire(std::move(request), has_ended),
+                   asio::detached);
+    while (!has_ended) context.run_one();
+  }
+
+  asio::awaitable<void> Acquire(RequestAttributes request, bool& has_ended) {
+    ServerId none;
+    const auto decision = co_await dispatcher.Acquire(request, none);
+    if (decision.has_value()) grant = decision.value();
+    has_ended = true;
+  }
+
+  AttemptReport Answered() const {
+    AttemptReport report;
+    report.result = AttemptReport::Result::kAnswered;
+    return report;
+  }
+
+  void RunUntilAnswered(const std::optional<Json>& answer) {
+    while (!answer.has_value()) context.run_one();
+  }
+
+  PermitDispatcher::Options MakeOptions() const {
+    PermitDispatcher::Options options;
+    options.host = HostId("a");
+    options.incarnation = Incarnation(1);
+    options.probes_per_second = 0;
+    options.router.permit_takeover_delay = std::chrono::milliseconds(50);
+    options.router.grant_validity = std::chrono::milliseconds(40);
+    return options;
+  }
+
+  asio::io_context context{1};
+  ScriptedPeer peer;
+  std::unique_ptr<EventLog> log =
+      std::move(EventLog::Open({.file = "/dev/null"}).value());
+  MetricsRegistry metrics;
+  PermitDispatcher dispatcher{MakeOptions(), context.get_executor(), &peer,
+                              *log, metrics};
+  std::optional<DispatchGrant> grant;
+};
+
+RequestAttributes RequestOfService() {
+  RequestAttributes request;
+  request.service = ServiceId("s");
+  return request;
+}
+
+// Guards against a borrower that takes its own cancellation for a refusal and
+// then asks this host for nothing.
+TEST_CASE("A parked borrow that is cancelled is answered as cancelled") {
+  Lender lender;
+  std::optional<Json> borrow;
+  std::optional<Json> cancellation;
+  lender.peer.Send(lender.context, "borrow", BorrowOf(5), borrow);
+  lender.peer.Send(lender.context, "borrow-cancel", BorrowOf(5), cancellation);
+  lender.RunUntilAnswered(borrow);
+  CHECK(borrow->value("lent", true) == false);
+  CHECK(borrow->value("cancelled", false) == true);
+  lender.dispatcher.Complete(RequestOfService(), *lender.grant,
+                             lender.Answered());
+}
+
+// Guards against a lent permit that no host knows of: the grant is on its way
+// to the borrower when its cancellation arrives.
+TEST_CASE(
+    "A permit lent before the cancellation arrives reaches the borrower") {
+  Lender lender;
+  std::optional<Json> borrow;
+  std::optional<Json> cancellation;
+  lender.peer.Send(lender.context, "borrow", BorrowOf(5), borrow);
+  asio::post(lender.context, [&] {
+    lender.dispatcher.Complete(RequestOfService(), *lender.grant,
+                               lender.Answered());
+    lender.peer.Send(lender.context, "borrow-cancel", BorrowOf(5),
+                     cancellation);
+  });
+  lender.RunUntilAnswered(borrow);
+  CHECK(borrow->value("lent", false) == true);
+  CHECK(borrow->value("server", "") == "s-1");
+}
+
+}  // namespace
+}  // namespace dogwood
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 name="${1:?usage: bench.sh tail|cold|noisy|zone|control}"
 [ -f "scripts/bench/$name.sh" ] || { echo "bench.sh: there is no bench \"$name\"" >&2; exit 2; }
-scripts/build.sh | tail -n 1 > /dev/null
+scripts/build.sh > /dev/null
 mkdir -p build/bench
 BIN=build/bin
 FLEET_LOG_LEVEL=warning
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Configures and builds. Usage: build.sh [--sanitizer address|thread] [TARGET...]
-# Prints the build folder's name as its last line.
+# Prints the build folder's name; the build's own output goes to standard error.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 sanitizer=""
@@ -10,5 +10,6 @@
   { cat "/tmp/dogwood-cmake-$$.log"; rm -f "/tmp/dogwood-cmake-$$.log"; exit 1; }
 rm -f "/tmp/dogwood-cmake-$$.log"
 jobs="${DOGWOOD_BUILD_JOBS:-$(nproc)}"
-if [ $# -gt 0 ]; then ninja -C "$folder" -j "$jobs" "$@"; else ninja -C "$folder" -j "$jobs"; fi
+# Standard output carries only the folder's name.
+ninja -C "$folder" -j "$jobs" "$@" >&2
 echo "$folder"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/packages.sh
-scripts/build.sh dogwood-entry dogwood-ctl dogwood-load dogwood-timeline standin-backend standin-platform | tail -n 1
+scripts/build.sh dogwood-entry dogwood-ctl dogwood-load dogwood-timeline standin-backend standin-platform > /dev/null
 BIN=build/bin
 FLEET_FOLDER=$(mktemp -d "${TMPDIR:-/tmp}/dogwood-demo.XXXXXX")
 . scripts/fleet.sh
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,7 +5,7 @@
 scripts/packages.sh
 sanitizer=()
 if [ "${1:-}" = "--sanitizer" ]; then sanitizer=(--sanitizer "$2"); shift 2; fi
-folder=$(scripts/build.sh "${sanitizer[@]}" | tee /dev/stderr | tail -n 1)
+folder=$(scripts/build.sh "${sanitizer[@]}")
 # rapidcheck takes its seed from here, so that each run gives the same verdict.
 export RC_PARAMS="${RC_PARAMS:-seed=20261204}"
 ctest --test-dir "$folder" --output-on-failure -j 4 "$@"
