--- a/Libraries/Routing/permit_table.cc
+++ b/Libraries/Routing/permit_table.cc
@@ -107,6 +107,7 @@
     }
   }
   std::vector<AssignableHost> hosts;
+  hosts.reserve(alive.size());
   for (const HostIndex host : alive) hosts.push_back({name_hashes[host], host});
   const std::vector<HostIndex> assigned = AssignSlots(assignable, hosts);
   std::vector<HostIndex> owners(slots_.size(), kNoIndex);
--- a/Services/Entry/permit_dispatcher.cc
+++ b/Services/Entry/permit_dispatcher.cc
@@ -96,7 +96,7 @@
   }
   for (const auto& [id, service] : fleet.services) {
     for (const auto& [server, configuration] : service.servers) {
-      probe_budget_.SetServer(server, options_.probes_per_second, now);
+      probe_budget_.SetServer(server, service.settings.probes_per_second, now);
     }
   }
   ApplyMembers();
--- a/Services/Entry/permit_dispatcher.h
+++ b/Services/Entry/permit_dispatcher.h
@@ -28,7 +28,6 @@
     HostId host;
     Incarnation incarnation;
     std::uint64_t seed = 0;
-    double probes_per_second = 1;  // per backend server, over the whole fleet
     RouterOptions router;
   };
 
--- a/Tests/Services/Entry/permit_dispatcher_test.cc
+++ b/Tests/Services/Entry/permit_dispatcher_test.cc
@@ -117,7 +117,6 @@
     PermitDispatcher::Options options;
     options.host = HostId("a");
     options.incarnation = Incarnation(1);
-    options.probes_per_second = 0;
     options.router.permit_takeover_delay = std::chrono::milliseconds(50);
     options.router.grant_validity = std::chrono::milliseconds(40);
     return options;
