--- a/Services/Entry/control_plane.cc
+++ b/Services/Entry/control_plane.cc
@@ -123,8 +123,8 @@
   chain.host = settings_.host;
   settings_service_ = std::make_unique<SettingsService>(
       executor, chain, store_, *peers_, &log_,
-      [this](std::shared_ptr<const FleetConfiguration> fleet) {
-        PublishFleet(std::move(fleet));
+      [this](const std::shared_ptr<const FleetConfiguration>& fleet) {
+        PublishFleet(fleet);
       });
   operator_api_ = std::make_unique<OperatorApi>(*settings_service_);
 
@@ -172,7 +172,7 @@
 }
 
 void ControlPlane::PublishFleet(
-    std::shared_ptr<const FleetConfiguration> fleet) {
+    const std::shared_ptr<const FleetConfiguration>& fleet) {
   fleet_ = *fleet;
   const Result<void> applied = dispatcher_->Apply(fleet_);
   if (applied.has_error()) {
--- a/Services/Entry/control_plane.h
+++ b/Services/Entry/control_plane.h
@@ -58,7 +58,7 @@
   enum class Reading { kFirst, kLater };
   boost::asio::awaitable<Result<std::vector<ListedHost>>> ReadHostList(
       Reading reading);
-  void PublishFleet(std::shared_ptr<const FleetConfiguration> fleet);
+  void PublishFleet(const std::shared_ptr<const FleetConfiguration>& fleet);
   void AddUsageRoutes(EntryHost& host);
   boost::asio::awaitable<HttpResponse> UsageResponse(HttpRequest request);
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -21,6 +21,8 @@
 fleet_configure "tracking 1 30 6;proofs 2 6 6" \
   "lesta tracking 1500 100000000;khangai tracking 500 20000000;khangai proofs 200 5000000"
 
+# A host uses the permits it gained 1.5 s after it learned of them.
+sleep 2
 echo "[3/5] load for $seconds s: tracking-5 turns cold at 4 s, tracking-8 crashes at 7 s,"
 echo "      availability zone catania is out from 10 s to 14 s"
 "$BIN/dogwood-load" --targets "$(fleet_targets $hosts)" --seconds $seconds --seed 1 \
@@ -44,5 +46,6 @@
 echo "[4/5] report: latency, outcomes, and use against the agreements"
 cat "$FLEET_FOLDER/report.txt"
 curl -sf -H "Authorization: Bearer $(cat "$FLEET_FOLDER/operator.token")" http://127.0.1.1:8200/v1/usage
-echo "[5/5] main events (settings 5000-5999, server and member changes 3000-4999)"
-"$BIN/dogwood-timeline" --from 3000 --to 5999 "$FLEET_FOLDER"/*.events | head -n 25
+echo "[5/5] main events"
+"$BIN/dogwood-timeline" --from 3000 --to 7999 "$FLEET_FOLDER"/*.events > "$FLEET_FOLDER/timeline.txt"
+grep -v settings-in-force "$FLEET_FOLDER/timeline.txt" | sed -n 1,25p
