Tests: Mend what clang-tidy found

Cause: the whole lint run found copies, an implicit widening, an integer division and a string list that reads like a missing comma. Change: as the tool asks; no check is relaxed.

--- a/Tests/Libraries/Settings/settings_test.cc
+++ b/Tests/Libraries/Settings/settings_test.cc
@@ -92,7 +92,7 @@
 // Guards against settings that are silently ignored or contradict each other.
 TEST_CASE("Validation names the path, what was found and what is allowed") {
   CHECK(ValidationError(SmallFleet()).empty());
-  const auto with = [](const char* path, Json value) {
+  const auto with = [](const char* path, const Json& value) {
     SettingsTree tree(SmallFleet());
     tree.Set(path, value);
     return ValidationError(tree.root());
@@ -185,7 +185,7 @@
     Accept(source, "o" + std::to_string(i), "default.queue_limit", i);
   const std::vector<SettingsChange> changes(source.changes().begin(),
                                             source.changes().end());
-  CHECK(rc::check([&](std::vector<std::uint8_t> order) {
+  CHECK(rc::check([&](const std::vector<std::uint8_t>& order) {
     SettingsChain copy;
     SettingsVersion newest;
     for (const std::uint8_t index : order) {
@@ -207,7 +207,7 @@
 
 // Guards against hosts that settle concurrent orders differently.
 TEST_CASE("Orders merged in any sequence give the same effective tree") {
-  CHECK(rc::check([](std::vector<std::uint8_t> picks) {
+  CHECK(rc::check([](const std::vector<std::uint8_t>& picks) {
     SettingsChain base;
     Accept(base, "z", "zones.palermo.limit", 5);
     std::vector<EmergencyOrder> orders;
--- a/Tests/Services/Entry/permit_dispatcher_test.cc
+++ b/Tests/Services/Entry/permit_dispatcher_test.cc
@@ -90,13 +90,12 @@
     request.service = ServiceId("s");
     request.arrival = MonotonicNow();
     request.deadline = request.arrival + std::chrono::milliseconds(100);
-    bool has_ended = false;
-    asio::co_spawn(context, Acquire(std::move(request), has_ended),
-                   asio::detached);
+    has_ended = false;
+    asio::co_spawn(context, Acquire(std::move(request)), asio::detached);
     while (!has_ended) context.run_one();
   }
 
-  asio::awaitable<void> Acquire(RequestAttributes request, bool& has_ended) {
+  asio::awaitable<void> Acquire(RequestAttributes request) {
     ServerId none;
     const auto decision = co_await dispatcher.Acquire(request, none);
     if (decision.has_value()) grant = decision.value();
@@ -130,6 +129,7 @@
   PermitDispatcher dispatcher{MakeOptions(), context.get_executor(), &peer,
                               *log, metrics};
   std::optional<DispatchGrant> grant;
+  bool has_ended = false;  // the last acquisition
 };
 
 RequestAttributes RequestOfService() {
--- a/Tests/Services/Entry/relay_test.cc
+++ b/Tests/Services/Entry/relay_test.cc
@@ -254,13 +254,15 @@
 // Guards against responses that are passed on although they are not, or not
 // surely, the complete response to this request.
 TEST_CASE("An invalid response gives 502 and outcome unknown") {
+  const std::string crossed =
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+      "Dogwood-Request-Id: other\r\n\r\nok";
   const std::vector<std::string> responses = {
       "",                                                    // nothing
       "HTTP/1.1 200 OK\r\nContent-",                         // truncated head
       "HTTP/1.1 200 OK\r\n\r\nuntil close",                  // no length
       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokmore",  // surplus
-      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nDogwood-Request-Id: other\r\n"
-      "\r\nok",  // crossed
+      crossed,
       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
       "SSH-2.0-nonsense\r\n\r\n",
--- a/Tests/StandIns/backend_process.cc
+++ b/Tests/StandIns/backend_process.cc
@@ -22,7 +22,7 @@
 using Tcp = asio::ip::tcp;
 
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t kChunkBytes = 64U * 1024U;
+constexpr std::size_t kChunkBytes = std::size_t{64} * 1024;
 
 std::int64_t WallMicroseconds() { return WallNow().time_since_epoch().count(); }
 
--- a/Tests/StandIns/work_speed.h
+++ b/Tests/StandIns/work_speed.h
@@ -34,8 +34,8 @@
     while (true) {
       const auto at = static_cast<std::int64_t>(now);
       const double speed = SpeedAt(server, at);
-      const double window_end =
-          static_cast<double>((at / window.count() + 1) * window.count());
+      const std::int64_t next_window = at / window.count() + 1;
+      const auto window_end = static_cast<double>(next_window * window.count());
       const double possible = (window_end - now) * speed;
       if (rest <= possible)
         return static_cast<std::int64_t>(now + rest / speed);
