--- a/Libraries/Balancing/peer_table.cc
+++ b/Libraries/Balancing/peer_table.cc
@@ -8,6 +8,9 @@
   if (record.ip == own_ip_) return false;
   const TimePoint heard_at = now - record.age;
   if (record.age > kForgetAfter) return false;
+  std::erase_if(peers_, [&](const auto& item) {
+    return now - item.second.heard_at > kForgetAfter;
+  });
   const auto [found, is_new] = peers_.try_emplace(record.ip);
   Peer& peer = found->second;
   if (is_new) peer.hash = NameHash(record.ip);
@@ -41,11 +44,12 @@
   return live;
 }
 
-std::vector<std::string> PeerTable::OneInEachOtherZone(std::uint64_t draw,
-                                                       TimePoint now) const {
+template <typename Predicate>
+std::vector<std::string> PeerTable::OneOfEachOtherZone(
+    std::uint64_t draw, Predicate is_wanted) const {
   std::map<ZoneId, std::pair<std::uint64_t, std::string>> best;
   for (const auto& [ip, peer] : peers_) {
-    if (peer.zone == own_zone_ || !is_live(peer, now)) continue;
+    if (peer.zone == own_zone_ || !is_wanted(peer)) continue;
     const std::uint64_t weight = MixHashes(draw, peer.hash);
     auto& [best_weight, best_ip] = best[peer.zone];
     if (!best_ip.empty() && weight <= best_weight) continue;
@@ -58,6 +62,28 @@
   return chosen;
 }
 
+std::vector<std::string> PeerTable::OneInEachOtherZone(std::uint64_t draw,
+                                                       TimePoint now) const {
+  return OneOfEachOtherZone(
+      draw, [&](const Peer& peer) { return is_live(peer, now); });
+}
+
+std::vector<std::string> PeerTable::SilentInOwnZone(TimePoint now) const {
+  std::vector<std::string> silent;
+  for (const auto& [ip, peer] : peers_) {
+    if (peer.zone == own_zone_ && now - peer.heard_at > kSilenceInZone)
+      silent.push_back(ip);
+  }
+  return silent;
+}
+
+std::vector<std::string> PeerTable::OneSilentInEachOtherZone(
+    std::uint64_t draw, TimePoint now) const {
+  return OneOfEachOtherZone(draw, [&](const Peer& peer) {
+    return now - peer.heard_at > kSilenceAcrossZones;
+  });
+}
+
 std::vector<PeerRecord> PeerTable::Describe(TimePoint now) const {
   std::vector<PeerRecord> records;
   for (const auto& [ip, peer] : peers_) {
--- a/Libraries/Balancing/peer_table.h
+++ b/Libraries/Balancing/peer_table.h
@@ -27,8 +27,9 @@
   static constexpr Duration kSilenceInZone = std::chrono::milliseconds(900);
   // News from other zones passes through more hosts.
   static constexpr Duration kSilenceAcrossZones = std::chrono::seconds(4);
-  // A silent host is still told of the own existence for this long.
-  static constexpr Duration kForgetAfter = std::chrono::seconds(30);
+  // A silent host is still told of the own existence for this long; cuts last
+  // minutes.
+  static constexpr Duration kForgetAfter = std::chrono::minutes(10);
 
   PeerTable(std::string own_ip, ZoneId own_zone)
       : own_ip_(std::move(own_ip)), own_zone_(std::move(own_zone)) {}
@@ -41,6 +42,11 @@
   // One live host of every other zone, chosen by `draw`.
   std::vector<std::string> OneInEachOtherZone(std::uint64_t draw,
                                               TimePoint now) const;
+  // Known hosts that were not heard lately, to find each other again after a
+  // partition: all of the own zone and, by `draw`, one of each other zone.
+  std::vector<std::string> SilentInOwnZone(TimePoint now) const;
+  std::vector<std::string> OneSilentInEachOtherZone(std::uint64_t draw,
+                                                    TimePoint now) const;
   std::vector<PeerRecord> Describe(TimePoint now) const;
   // Live hosts, this one included.
   std::size_t LiveCount(TimePoint now) const;
@@ -61,6 +67,9 @@
   };
 
   bool is_live(const Peer& peer, TimePoint now) const;
+  template <typename Predicate>
+  std::vector<std::string> OneOfEachOtherZone(std::uint64_t draw,
+                                              Predicate is_wanted) const;
 
   std::string own_ip_;
   ZoneId own_zone_;
--- a/Services/Gateway/directory_sync.h
+++ b/Services/Gateway/directory_sync.h
@@ -41,6 +41,7 @@
   explicit DirectorySync(GatewayContext& context);
 
   void Start();
+  platform::StoreClient& store() { return store_; }
 
   // Versions and ages for the digest.
   std::vector<TableFreshness> Freshness(TimePoint now) const;
--- a/Services/Gateway/fleet_link.cc
+++ b/Services/Gateway/fleet_link.cc
@@ -16,6 +16,10 @@
 namespace {
 
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view kHostTable = "dogwood-hosts";
+constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
+// Hosts of one start register within this time.
+constexpr Duration kRegistrationPause = std::chrono::milliseconds(700);
 // Task name under which a zone's hosts agree on who talks to other zones.
 constexpr std::string_view kReporterTask = "zone-reporter";
 
@@ -128,25 +132,72 @@
 }
 
 asio::awaitable<void> FleetLink::Introduce() {
-  // Contacts are asked often until hosts are known, then kept informed.
-  constexpr int kSeldom = 10;
+  // Digests to hosts that registered, in case the first ones are lost.
+  constexpr int kGreetings = 3;
+  // Other zones are tried seldom, as bytes between zones are paid for.
+  constexpr int kOtherZonesRounds = 4;
   asio::steady_timer timer(context_.io);
+  asio::co_spawn(context_.io, Register(), asio::detached);
   for (int round = 0;; ++round) {
     const TimePoint now = MonotonicNow();
-    if (context_.peers.LiveCount(now) < 2 || round < 3 ||
-        round % kSeldom == 0) {
+    std::set<std::string> contacts;
+    for (auto& [ip, greetings] : contacts_) {
+      if (greetings >= kGreetings) continue;
+      ++greetings;
+      contacts.insert(ip);
+    }
+    for (std::string& ip : context_.peers.SilentInOwnZone(now))
+      contacts.insert(std::move(ip));
+    if (round % kOtherZonesRounds == 0) {
+      for (std::string& ip :
+           context_.peers.OneSilentInEachOtherZone(context_.random(), now)) {
+        contacts.insert(std::move(ip));
+      }
+    }
+    if (!contacts.empty()) {
       FleetDigest digest = BaseDigest(now);
       digest.peers = context_.peers.Describe(now);
       const auto bytes = EncodeDigest(digest);
-      for (const std::string& ip : context_.settings.contact_ips) {
-        if (ip != context_.settings.ip) SendTo(ip, bytes);
-      }
+      for (const std::string& ip : contacts) SendTo(ip, bytes);
     }
     timer.expires_after(kContactInterval);
     co_await timer.async_wait(kUseTuple);
   }
 }
 
+asio::awaitable<void> FleetLink::Register() {
+  // Registrations are read again until the hosts that start together are in.
+  constexpr int kReads = 2;
+  for (const std::string& ip : context_.settings.contact_ips) AddContact(ip);
+  asio::steady_timer timer(context_.io);
+  bool is_registered = false;
+  for (int reads = 0; reads < kReads;) {
+    if (!is_registered) {
+      const auto written = co_await sync_.store().WriteRow(
+          kHostTable, context_.settings.host.value(), context_.settings.ip,
+          kStoreTimeout);
+      is_registered = written.has_value();
+    }
+    const auto rows =
+        co_await sync_.store().ReadTable(kHostTable, kStoreTimeout);
+    if (rows) {
+      for (const platform::StoreRow& row : rows.value().rows) {
+        if (row.value) AddContact(*row.value);
+      }
+      if (is_registered) ++reads;
+    }
+    timer.expires_after(kRegistrationPause);
+    co_await timer.async_wait(kUseTuple);
+  }
+}
+
+void FleetLink::AddContact(const std::string& ip) {
+  boost::system::error_code error;
+  asio::ip::make_address_v4(ip, error);
+  // A registration that is no address was not written by a host.
+  if (!error && ip != context_.settings.ip) contacts_.try_emplace(ip, 0);
+}
+
 void FleetLink::AnnounceLeaving() {
   const TimePoint now = MonotonicNow();
   const auto bytes = EncodeDigest(BaseDigest(now));
--- a/Services/Gateway/fleet_link.h
+++ b/Services/Gateway/fleet_link.h
@@ -3,6 +3,8 @@
 #include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <map>
+#include <set>
 #include <string>
 
 #include "Services/Gateway/directory_sync.h"
@@ -22,8 +24,8 @@
       std::chrono::milliseconds(200);
   // Lists of known hosts travel with every digest sent in this interval.
   static constexpr Duration kPeerListInterval = std::chrono::milliseconds(600);
-  // Hosts named in the settings are told of the own existence until this many
-  // hosts are known, and now and then afterwards.
+  // Hosts that registered at the store or stand in the settings are told of the
+  // own existence a few times, silent ones again and again.
   static constexpr Duration kContactInterval = std::chrono::milliseconds(500);
   // Keeps a digest below the largest datagram.
   static constexpr std::size_t kMostObservations = 400;
@@ -41,6 +43,8 @@
   boost::asio::awaitable<void> SendInZone();
   boost::asio::awaitable<void> SendToOtherZones();
   boost::asio::awaitable<void> Introduce();
+  boost::asio::awaitable<void> Register();
+  void AddContact(const std::string& ip);
   void OnDigest(const FleetDigest& digest);
   FleetDigest BaseDigest(TimePoint now) const;
   void SendTo(const std::string& ip, const std::vector<std::uint8_t>& bytes);
@@ -50,6 +54,7 @@
   Incarnation incarnation_;
   boost::asio::ip::udp::socket socket_;
   std::array<std::uint8_t, 65536> received_{};
+  std::map<std::string, int> contacts_;  // digests sent to each
   TimePoint peers_sent_at_{};
   TimePoint sent_at_{};
   std::vector<TableFreshness> tables_sent_;
--- a/Services/Gateway/table_copy.cc
+++ b/Services/Gateway/table_copy.cc
@@ -10,7 +10,8 @@
 
 bool TableCopy::ReplaceAll(const StoreRows& rows, TimePoint confirmed_at) {
   if (rows.as_of < version_) return false;
-  bool has_changed = version_.value() == 0;
+  bool has_changed = !has_content_;
+  has_content_ = true;
   std::map<std::string, StoreRow> replaced;
   for (const StoreRow& row : rows.rows) {
     if (!row.value) continue;
--- a/Services/Gateway/table_copy.h
+++ b/Services/Gateway/table_copy.h
@@ -26,7 +26,7 @@
       platform::StoreVersion version) const;
   platform::StoreRows All() const;
 
-  bool has_content() const { return version_.value() > 0; }
+  bool has_content() const { return has_content_; }
   // Where to resume reading changes from the store.
   platform::StoreVersion version() const { return version_; }
   // Version of the newest change; equal on hosts with equal copies.
@@ -46,6 +46,7 @@
   void SetConfirmed(TimePoint at);
   void ForgetOldestRemoved();
 
+  bool has_content_ = false;  // the table was read, even if it was empty
   platform::StoreVersion version_;
   platform::StoreVersion content_version_;
   // Removals up to this version are not remembered.
