--- a/Libraries/Balancing/admission.cc
+++ b/Libraries/Balancing/admission.cc
@@ -23,9 +23,13 @@
       return can_be_in_time ? AdmissionVerdict::kWait
                             : AdmissionVerdict::kRefuse;
     }
-    if (work <= query.goal_left || !can_be_in_time)
-      return AdmissionVerdict::kSend;
-    return AdmissionVerdict::kWait;
+    if (work <= query.goal_left) return AdmissionVerdict::kSend;
+    if (can_be_in_time) return AdmissionVerdict::kWait;
+    const bool leaves_room =
+        input.waiting_before == 0 &&
+        input.occupancy.free_fast_slots >=
+            kFreePartForTimely * input.occupancy.fast_slots;
+    if (leaves_room) return AdmissionVerdict::kSend;
   }
   if (!can_be_in_time) {
     const Duration most = Scaled(query.goal, kLateWait);
@@ -33,13 +37,13 @@
                ? AdmissionVerdict::kWait
                : AdmissionVerdict::kRefuse;
   }
-  // The fleet finishes about slots / usual work requests a second, of which
-  // this host gets its share.
-  const double slots_per_host =
-      input.occupancy.slots /
-      static_cast<double>(std::max<std::size_t>(input.host_count, 1));
+  // The servers finish about fast slots / usual work requests a second, of
+  // which this dispatcher's zone gets its share.
+  const double slots =
+      input.occupancy.fast_slots /
+      static_cast<double>(std::max<std::size_t>(input.dispatcher_count, 1));
   const double wait_for_turn =
-      static_cast<double>(input.waiting_before) / std::max(slots_per_host, 0.5);
+      static_cast<double>(input.waiting_before) / std::max(slots, 0.5);
   return Scaled(query.usual_work, wait_for_turn) > slack
              ? AdmissionVerdict::kRefuse
              : AdmissionVerdict::kWait;
--- a/Libraries/Balancing/admission.h
+++ b/Libraries/Balancing/admission.h
@@ -17,6 +17,9 @@
   // A late request waits this part of its goal for room before it is refused:
   // its caller can come back sooner than it would be served here.
   static constexpr double kLateWait = 0.12;
+  // Late requests take only room that leaves this part of the fast slots free
+  // for those that can still be in time.
+  static constexpr double kFreePartForTimely = 0.2;
 
   struct Input {
     PlacementQuery query;
@@ -24,7 +27,9 @@
     Duration waited{};
     ServerTable::Occupancy occupancy;
     std::size_t waiting_before = 0;  // requests of the service ahead of it
-    std::size_t host_count = 1;      // hosts that share the servers
+    // Dispatchers of other availability zones that use the servers as well,
+    // this one included.
+    std::size_t dispatcher_count = 1;
   };
 
   static AdmissionVerdict Decide(const Input& input);
--- a/Libraries/Balancing/balancing.h
+++ b/Libraries/Balancing/balancing.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "Libraries/Balancing/admission.h"
+#include "Libraries/Balancing/dispatcher.h"
 #include "Libraries/Balancing/fleet_digest.h"
 #include "Libraries/Balancing/fleet_directory.h"
+#include "Libraries/Balancing/peer_message.h"
 #include "Libraries/Balancing/peer_table.h"
 #include "Libraries/Balancing/retry_allowance.h"
 #include "Libraries/Balancing/route_table.h"
--- /dev/null
+++ b/Libraries/Balancing/dispatcher.cc
@@ -0,0 +1,104 @@
+#include "Libraries/Balancing/dispatcher.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace dogwood {
+
+std::optional<DispatchDecision> Dispatcher::Add(DispatchRequest request,
+                                                TimePoint now) {
+  const auto before = static_cast<std::size_t>(std::count_if(
+      waiting_.begin(), waiting_.end(), [&](const DispatchRequest& other) {
+        return other.service == request.service;
+      }));
+  auto decision = Decide(request, before, now);
+  if (!decision) waiting_.push_back(std::move(request));
+  return decision;
+}
+
+void Dispatcher::Withdraw(const std::string& host, std::uint64_t number,
+                          TimePoint now) {
+  std::erase_if(waiting_, [&](const DispatchRequest& request) {
+    return request.number == number && request.host == host;
+  });
+  OnEnded(host, number, AttemptOutcome::kAbandoned, now);
+}
+
+void Dispatcher::OnEnded(const std::string& host, std::uint64_t number,
+                         AttemptOutcome outcome, TimePoint now) {
+  const auto grant =
+      std::find_if(grants_.begin(), grants_.end(), [&](const Grant& known) {
+        return known.number == number && known.host == host;
+      });
+  if (grant == grants_.end()) return;
+  servers_.OnEnded(grant->server, outcome, now);
+  *grant = std::move(grants_.back());
+  grants_.pop_back();
+}
+
+void Dispatcher::TakeBackOverdue(TimePoint now) {
+  std::erase_if(grants_, [&](const Grant& grant) {
+    if (now < grant.expires_at) return false;
+    servers_.OnEnded(grant.server, AttemptOutcome::kAbandoned, now);
+    return true;
+  });
+}
+
+std::vector<DispatchDecision> Dispatcher::Review(TimePoint now) {
+  TakeBackOverdue(now);
+  std::vector<DispatchDecision> decisions;
+  if (waiting_.empty()) return decisions;
+  const auto order = [now](const DispatchRequest& request) {
+    const bool is_late = now + request.usual_work > request.goal_at;
+    return std::tuple(is_late, request.priority, request.arrived_at);
+  };
+  std::sort(waiting_.begin(), waiting_.end(),
+            [&](const DispatchRequest& left, const DispatchRequest& right) {
+              return order(left) < order(right);
+            });
+  std::map<ServiceId, std::size_t> before;
+  std::erase_if(waiting_, [&](const DispatchRequest& request) {
+    std::size_t& ahead = before[request.service];
+    auto decision = Decide(request, ahead, now);
+    if (!decision) {
+      ++ahead;
+      return false;
+    }
+    decisions.push_back(std::move(*decision));
+    return true;
+  });
+  return decisions;
+}
+
+std::optional<DispatchDecision> Dispatcher::Decide(
+    const DispatchRequest& request, std::size_t before, TimePoint now) {
+  Admission::Input input{{request.service, request.usual_work, request.goal,
+                          request.goal_at - now, request.deadline - now,
+                          request.body_bytes, request.excluded}};
+  input.placement = servers_.Choose(
+      input.query,
+      [&](const ServerState& server) {
+        return peers_.may_use_alone(server, now);
+      },
+      random_, now);
+  input.waited = now - request.arrived_at;
+  input.occupancy = servers_.OccupancyOf(request.service, now);
+  input.waiting_before = before;
+  input.dispatcher_count = peers_.LiveZoneCount(now);
+  DispatchDecision decision{request.host, request.number,
+                            Admission::Decide(input), input.placement};
+  if (decision.verdict == AdmissionVerdict::kWait) return std::nullopt;
+  decision.occupancy = input.occupancy;
+  if (decision.verdict == AdmissionVerdict::kSend) {
+    servers_.OnSent(input.placement->server, now);
+    grants_.push_back({request.host, request.number, input.placement->server,
+                       request.deadline + kGrantMargin});
+  } else {
+    std::uniform_real_distribution<double> draw(0, 1);
+    decision.retry_after = Admission::RetryAfter(input, draw(random_));
+  }
+  return decision;
+}
+
+}  // namespace dogwood
--- a/Libraries/Balancing/fleet_digest.h
+++ b/Libraries/Balancing/fleet_digest.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
-#include <string_view>
 #include <vector>
 
 #include "Libraries/Balancing/peer_table.h"
@@ -24,11 +22,4 @@
   std::vector<PeerRecord> peers;
 };
 
-// Binary form; never larger than what a datagram on a common link carries
-// unfragmented times a small factor, as callers bound the lists.
-std::vector<std::uint8_t> EncodeDigest(const FleetDigest& digest);
-
-// Fails with kProtocol on bytes that are no digest.
-Result<FleetDigest> DecodeDigest(const std::uint8_t* bytes, std::size_t size);
-
 }  // namespace dogwood
--- /dev/null
+++ b/Libraries/Balancing/peer_message.cc
@@ -0,0 +1,228 @@
+#include "Libraries/Balancing/peer_message.h"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace dogwood {
+namespace {
+
+using Json = nlohmann::json;
+
+// Layout: [version, kind, fields...], fields in the order of the type; the kind
+// is the type's index in PeerMessage. CBOR keeps small numbers in a byte.
+constexpr int kFormatVersion = 2;
+
+std::int64_t ToMicroseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration)
+      .count();
+}
+std::int64_t ToMs(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+Duration FromMs(const Json& value) {
+  return std::chrono::milliseconds(value.get<std::int64_t>());
+}
+Duration FromMicroseconds(const Json& value) {
+  return std::chrono::microseconds(value.get<std::int64_t>());
+}
+
+// Shares travel in hundredths.
+int ToHundredths(double value) {
+  return static_cast<int>(std::lround(value * 100));
+}
+double FromHundredths(const Json& value) { return value.get<double>() / 100; }
+
+template <typename Enum>
+Enum EnumFrom(const Json& value, Enum last) {
+  const int number = value.get<int>();
+  if (number < 0 || number > static_cast<int>(last))
+    throw Json::other_error::create(501, "unknown enumerator", nullptr);
+  return static_cast<Enum>(number);
+}
+
+Json ToJson(const PeerRecord& peer) {
+  return Json::array({peer.ip, peer.zone.value(), peer.incarnation.value(),
+                      ToMs(peer.age), peer.is_leaving});
+}
+
+PeerRecord PeerFrom(const Json& item) {
+  return {item.at(0).get<std::string>(), ZoneId(item.at(1).get<std::string>()),
+          Incarnation(item.at(2).get<std::uint64_t>()), FromMs(item.at(3)),
+          item.at(4).get<bool>()};
+}
+
+Json ToJson(const ServerObservation& seen) {
+  return Json::array({seen.server.value(), seen.in_work,
+                      ToHundredths(seen.slowdown), ToMs(seen.age),
+                      ToMs(seen.cold_left), ToHundredths(seen.failure_rate),
+                      seen.is_unreachable});
+}
+
+ServerObservation ObservationFrom(const Json& item) {
+  return {ServerKey(item.at(0).get<std::uint32_t>()),
+          item.at(1).get<unsigned>(),
+          FromHundredths(item.at(2)),
+          FromMs(item.at(3)),
+          FromMs(item.at(4)),
+          FromHundredths(item.at(5)),
+          item.at(6).get<bool>()};
+}
+
+Json ToJson(const Placement& placement) {
+  return Json::array(
+      {placement.server.value(), ToMs(placement.expected),
+       ToHundredths(placement.slowdown), placement.in_work,
+       placement.load_age == Duration::max() ? -1 : ToMs(placement.load_age),
+       placement.is_above_knee});
+}
+
+Placement PlacementFrom(const Json& item) {
+  Placement placement;
+  placement.server = ServerKey(item.at(0).get<std::uint32_t>());
+  placement.expected = FromMs(item.at(1));
+  placement.slowdown = FromHundredths(item.at(2));
+  placement.in_work = item.at(3).get<unsigned>();
+  placement.load_age =
+      item.at(4).get<int>() < 0 ? Duration::max() : FromMs(item.at(4));
+  placement.is_above_knee = item.at(5).get<bool>();
+  return placement;
+}
+
+void Append(Json& out, const FleetDigest& digest) {
+  Json tables = Json::array();
+  for (const TableFreshness& table : digest.tables)
+    tables.push_back(Json::array({table.version, ToMs(table.age)}));
+  Json observations = Json::array();
+  for (const ServerObservation& seen : digest.observations)
+    observations.push_back(ToJson(seen));
+  Json peers = Json::array();
+  for (const PeerRecord& peer : digest.peers) peers.push_back(ToJson(peer));
+  out.push_back(ToJson(digest.sender));
+  out.push_back(std::move(tables));
+  out.push_back(std::move(observations));
+  out.push_back(std::move(peers));
+}
+
+void Append(Json& out, const PlacementAsk& ask) {
+  Json excluded = Json::array();
+  for (const ServerKey server : ask.excluded)
+    excluded.push_back(server.value());
+  out.insert(out.end(),
+             {ask.number, ask.service.value(), ask.priority,
+              ToMicroseconds(ask.usual_work), ToMicroseconds(ask.goal),
+              ToMicroseconds(ask.goal_left), ToMicroseconds(ask.time_left),
+              ask.body_bytes, std::move(excluded)});
+}
+
+void Append(Json& out, const PlacementAnswer& answer) {
+  out.insert(out.end(), {answer.number, static_cast<int>(answer.verdict),
+                         ToMs(answer.retry_after)});
+  if (answer.placement) out.push_back(ToJson(*answer.placement));
+}
+
+void Append(Json& out, const PlacementEnd& end) {
+  out.insert(out.end(),
+             {end.number, end.server.value(), static_cast<int>(end.outcome),
+              ToHundredths(end.work_ratio), end.was_above_knee});
+  if (end.load) {
+    out.push_back(end.load->in_work);
+    out.push_back(ToHundredths(end.load->slowdown));
+  }
+}
+
+void Append(Json& out, const PlacementWithdrawal& withdrawal) {
+  out.push_back(withdrawal.number);
+}
+
+FleetDigest DigestFrom(const Json& root) {
+  FleetDigest digest;
+  digest.sender = PeerFrom(root.at(2));
+  for (const Json& item : root.at(3))
+    digest.tables.push_back(
+        {item.at(0).get<std::uint64_t>(), FromMs(item.at(1))});
+  for (const Json& item : root.at(4))
+    digest.observations.push_back(ObservationFrom(item));
+  for (const Json& item : root.at(5)) digest.peers.push_back(PeerFrom(item));
+  return digest;
+}
+
+PlacementAsk AskFrom(const Json& root) {
+  PlacementAsk ask;
+  ask.number = root.at(2).get<std::uint64_t>();
+  ask.service = ServiceId(root.at(3).get<std::string>());
+  ask.priority = root.at(4).get<unsigned>();
+  ask.usual_work = FromMicroseconds(root.at(5));
+  ask.goal = FromMicroseconds(root.at(6));
+  ask.goal_left = FromMicroseconds(root.at(7));
+  ask.time_left = FromMicroseconds(root.at(8));
+  ask.body_bytes = root.at(9).get<std::size_t>();
+  for (const Json& item : root.at(10))
+    ask.excluded.push_back(ServerKey(item.get<std::uint32_t>()));
+  return ask;
+}
+
+PlacementAnswer AnswerFrom(const Json& root) {
+  PlacementAnswer answer;
+  answer.number = root.at(2).get<std::uint64_t>();
+  answer.verdict = EnumFrom(root.at(3), AdmissionVerdict::kRefuse);
+  answer.retry_after = FromMs(root.at(4));
+  if (root.size() > 5) answer.placement = PlacementFrom(root.at(5));
+  return answer;
+}
+
+PlacementEnd EndFrom(const Json& root) {
+  PlacementEnd end;
+  end.number = root.at(2).get<std::uint64_t>();
+  end.server = ServerKey(root.at(3).get<std::uint32_t>());
+  end.outcome = EnumFrom(root.at(4), AttemptOutcome::kAbandoned);
+  end.work_ratio = FromHundredths(root.at(5));
+  end.was_above_knee = root.at(6).get<bool>();
+  if (root.size() > 8) {
+    end.load =
+        ReportedLoad{root.at(7).get<unsigned>(), FromHundredths(root.at(8))};
+  }
+  return end;
+}
+
+Result<PeerMessage> MessageFrom(const Json& root) {
+  switch (root.at(1).get<std::size_t>()) {
+    case 0:
+      return DigestFrom(root);
+    case 1:
+      return AskFrom(root);
+    case 2:
+      return AnswerFrom(root);
+    case 3:
+      return EndFrom(root);
+    case 4:
+      return PlacementWithdrawal{root.at(2).get<std::uint64_t>()};
+    default:
+      return Fail(ErrorCode::kProtocol, "message of an unknown kind");
+  }
+}
+
+}  // namespace
+
+std::vector<std::uint8_t> EncodeMessage(const PeerMessage& message) {
+  Json out = Json::array({kFormatVersion, message.index()});
+  std::visit([&](const auto& content) { Append(out, content); }, message);
+  return Json::to_cbor(out);
+}
+
+Result<PeerMessage> DecodeMessage(std::span<const std::uint8_t> bytes) {
+  const Json root = Json::from_cbor(bytes.begin(), bytes.end(), /*strict=*/true,
+                                    /*allow_exceptions=*/false);
+  if (!root.is_array() || root.size() < 3 || root[0] != kFormatVersion)
+    return Fail(ErrorCode::kProtocol, "message of an unknown format");
+  // Typed access of the JSON library reports wrong types by exceptions only.
+  try {
+    return MessageFrom(root);
+  } catch (const Json::exception& exception) {
+    return Fail(ErrorCode::kProtocol,
+                std::string("message: ") + exception.what());
+  }
+}
+
+}  // namespace dogwood
--- a/Libraries/Balancing/peer_table.cc
+++ b/Libraries/Balancing/peer_table.cc
@@ -1,5 +1,7 @@
 #include "Libraries/Balancing/peer_table.h"
 
+#include <set>
+
 #include "Libraries/Routing/rendezvous.h"
 
 namespace dogwood {
@@ -114,16 +116,39 @@
   return rank;
 }
 
-bool PeerTable::is_responsible(const ServerState& server, TimePoint now) const {
-  const std::uint64_t task = server.key.value();
-  if (server.entry.zone == own_zone_) return RankFor(task, now) == 0;
+std::string PeerTable::DispatcherFor(const ServiceId& service,
+                                     TimePoint now) const {
+  const std::uint64_t task = NameHash(service.value());
+  std::uint64_t best = MixHashes(NameHash(own_ip_), task);
+  const std::string* chosen = &own_ip_;
+  for (const auto& [ip, peer] : peers_) {
+    if (peer.zone != own_zone_ || !is_live(peer, now)) continue;
+    const std::uint64_t weight = MixHashes(peer.hash, task);
+    if (weight <= best) continue;
+    best = weight;
+    chosen = &ip;
+  }
+  return *chosen;
+}
+
+bool PeerTable::is_responsible(const ServiceId& service, const ZoneId& zone,
+                               TimePoint now) const {
+  if (zone == own_zone_) return DispatcherFor(service, now) == own_ip_;
+  const std::uint64_t task = NameHash(service.value());
   const std::uint64_t own = MixHashes(NameHash(own_ip_), task);
   for (const auto& [ip, peer] : peers_) {
     if (!is_live(peer, now)) continue;
-    if (peer.zone == server.entry.zone || MixHashes(peer.hash, task) > own)
-      return false;
+    if (peer.zone == zone || MixHashes(peer.hash, task) > own) return false;
   }
   return true;
 }
 
+std::size_t PeerTable::LiveZoneCount(TimePoint now) const {
+  std::set<ZoneId> zones = {own_zone_};
+  for (const auto& [ip, peer] : peers_) {
+    if (is_live(peer, now)) zones.insert(peer.zone);
+  }
+  return zones.size();
+}
+
 }  // namespace dogwood
--- a/Libraries/Balancing/peer_table.h
+++ b/Libraries/Balancing/peer_table.h
@@ -31,8 +31,13 @@
   // minutes.
   static constexpr Duration kForgetAfter = std::chrono::minutes(10);
 
-  PeerTable(std::string own_ip, ZoneId own_zone)
-      : own_ip_(std::move(own_ip)), own_zone_(std::move(own_zone)) {}
+  // Hosts that start together have found each other after this time.
+  static constexpr Duration kSettleTime = std::chrono::milliseconds(1500);
+
+  PeerTable(std::string own_ip, ZoneId own_zone, TimePoint started_at)
+      : own_ip_(std::move(own_ip)),
+        own_zone_(std::move(own_zone)),
+        started_at_(started_at) {}
 
   // Takes what a host told of itself or of another one. Returns whether the
   // host was unknown, restarted, or silent before.
@@ -53,9 +58,21 @@
 
   // Position of this host in the order of the own zone's live hosts for a task.
   std::size_t RankFor(std::uint64_t task, TimePoint now) const;
-  // Whether this host watches a backend server: a live host of the server's
-  // zone or, if that has none, of any zone.
-  bool is_responsible(const ServerState& server, TimePoint now) const;
+  // The live host of the own zone that dispatches the requests for a service.
+  std::string DispatcherFor(const ServiceId& service, TimePoint now) const;
+  // Whether this host watches a service's backend servers in a zone: the
+  // dispatcher of that zone or, if it has no live host, one host of all.
+  bool is_responsible(const ServiceId& service, const ZoneId& zone,
+                      TimePoint now) const;
+  // Availability zones with a live host, at least the own one.
+  std::size_t LiveZoneCount(TimePoint now) const;
+  // Whether this host may use what one host at a time may use, such as the rate
+  // that a cold server bears: it is responsible and not about to learn that
+  // another one is.
+  bool may_use_alone(const ServerState& server, TimePoint now) const {
+    return now - started_at_ >= kSettleTime &&
+           is_responsible(server.entry.service, server.entry.zone, now);
+  }
 
  private:
   struct Peer {
@@ -73,6 +90,7 @@
 
   std::string own_ip_;
   ZoneId own_zone_;
+  TimePoint started_at_;
   std::map<std::string, Peer> peers_;
 };
 
--- a/Libraries/Balancing/server_state.h
+++ b/Libraries/Balancing/server_state.h
@@ -34,7 +34,13 @@
   bool is_unreachable = false;
 };
 
-// The load that a backend server reported and when.
+// What a load report came with.
+enum class ReportSource {
+  kHealthCheck,  // tells whether the server is cold as well
+  kAnswer,       // to a request
+};
+
+// The load that a backend server reported.
 struct ReportedLoad {
   unsigned in_work = 0;
   double slowdown = 1;
@@ -52,8 +58,12 @@
 
   double failure_rate = 0;  // weighted share of failed attempts
   TimePoint failure_rate_at{};
-  TimePoint unreachable_until{};
-  Duration unreachable_backoff{};
+  // Unreachable, or back after an absence: unusable until a health check tells
+  // whether it is cold.
+  bool needs_check = false;
+  TimePoint needs_check_since{};
+  TimePoint next_check_at{};
+  Duration check_backoff{};
   bool is_misdirected = false;  // another server has the address
 
   TimePoint cold_until{};
--- a/Libraries/Balancing/server_table.cc
+++ b/Libraries/Balancing/server_table.cc
@@ -16,6 +16,10 @@
 
 // How much one attempt moves the share of failures.
 constexpr double kAttemptWeight = 0.25;
+// How much one piece of ended work moves the averages by which a knee is found.
+constexpr double kRatioWeight = 0.05;
+// Work on a server that became slow meanwhile says nothing of a knee.
+constexpr double kMostRatio = 3;
 // How much one report moves a service's average slowdown.
 constexpr double kReportWeight = 0.02;
 
@@ -61,8 +65,7 @@
 
 bool ServerTable::is_usable(const ServerState& server, TimePoint now) const {
   return server.entry.phase == ServerPhase::kReady && !server.is_misdirected &&
-         server.unreachable_until <= now &&
-         !evacuated_.contains(server.entry.zone);
+         !server.needs_check && !evacuated_.contains(server.entry.zone);
 }
 
 bool ServerTable::try_refill_cold(ServerState& server, double rate,
@@ -124,6 +127,23 @@
       query.goal * (kCostOfHead + kCostOfLargeBody * part));
 }
 
+double ServerTable::UsableSlots(const ServerState& server,
+                                const ServiceServers& service) {
+  const double slots = server.entry.slots;
+  const bool has_knee =
+      service.ratio_above > kKneeSlowdown * service.ratio_below;
+  return has_knee ? std::max(1.0, std::floor(kKneePart * slots)) : slots;
+}
+
+void ServerTable::OnWorkRatio(ServerKey key, double ratio,
+                              bool was_above_knee) {
+  const ServerState* server = Find(key);
+  if (server == nullptr || ratio <= 0) return;
+  ServiceServers& service = services_[server->entry.service];
+  double& average = was_above_knee ? service.ratio_above : service.ratio_below;
+  average += kRatioWeight * (std::min(ratio, kMostRatio) - average);
+}
+
 std::optional<Placement> ServerTable::Evaluate(ServerState& server,
                                                const ServiceServers& service,
                                                const PlacementQuery& query,
@@ -134,14 +154,15 @@
   }
   const double slots = server.entry.slots;
   const double work = EstimatedWork(server, now);
-  if (work + 1 > slots + 0.5) return std::nullopt;
+  if (work + 1 > UsableSlots(server, service) + 0.5) return std::nullopt;
   Placement placement;
   placement.server = server.key;
   placement.slowdown = EstimatedSlowdown(server, service, now);
   placement.in_work = static_cast<unsigned>(std::lround(work));
   placement.load_age = server.load ? now - server.load_at : Duration::max();
   double factor = placement.slowdown;
-  if (work + 1 > kKneePart * slots) factor *= kKneeSlowdown;
+  placement.is_above_knee = work + 1 > kKneePart * slots;
+  if (placement.is_above_knee) factor *= kLastSlotsCost;
   // Keeps servers of equal speed evenly loaded.
   factor *= 1 + 0.05 * work / slots;
   const double failure_rate = FailureRate(server, now);
@@ -182,7 +203,6 @@
     case AttemptOutcome::kServed:
       AddAttempt(*server, 0, now);
       server->heard_at = now;
-      server->unreachable_backoff = {};
       break;
     case AttemptOutcome::kShed:
     case AttemptOutcome::kFailed:
@@ -204,18 +224,34 @@
 void ServerTable::OnUnreachable(ServerKey key, TimePoint now) {
   ServerState* server = FindMutable(key);
   if (server == nullptr) return;
-  server->unreachable_backoff = std::clamp<Duration>(
-      2 * server->unreachable_backoff, kFirstBackoff, kLongestBackoff);
-  server->unreachable_until = now + server->unreachable_backoff;
-  server->has_news = true;
+  server->check_backoff = std::clamp<Duration>(2 * server->check_backoff,
+                                               kFirstBackoff, kLongestBackoff);
+  server->next_check_at = now + server->check_backoff;
+  RequireCheck(*server, now);
+}
+
+void ServerTable::RequireCheck(ServerState& server, TimePoint now) {
+  server.needs_check = true;
+  server.needs_check_since = now;
+  server.has_news = true;
+}
+
+void ServerTable::SetEvacuated(std::set<ZoneId> zones, TimePoint now) {
+  for (auto& [key, server] : servers_) {
+    const ZoneId& zone = server->entry.zone;
+    if (!evacuated_.contains(zone) || zones.contains(zone)) continue;
+    RequireCheck(*server, now);
+  }
+  evacuated_ = std::move(zones);
 }
 
 void ServerTable::OnMisdirected(ServerKey key) {
   if (ServerState* server = FindMutable(key)) server->is_misdirected = true;
 }
 
-void ServerTable::OnReport(ServerKey key, ReportedLoad load,
-                           std::optional<Duration> cold_left, TimePoint now) {
+void ServerTable::OnReport(ServerKey key, ReportSource source,
+                           ReportedLoad load, std::optional<Duration> cold_left,
+                           TimePoint now) {
   ServerState* server = FindMutable(key);
   if (server == nullptr) return;
   server->load = load;
@@ -223,8 +259,11 @@
   server->own_in_flight_at_report = server->own_in_flight;
   server->heard_at = now;
   server->has_news = true;
-  server->unreachable_until = {};
-  server->unreachable_backoff = {};
+  if (source == ReportSource::kHealthCheck) {
+    server->needs_check = false;
+    server->check_backoff = {};
+    server->next_check_at = {};
+  }
   if (cold_left) server->cold_until = now + *cold_left;
   double& usual = services_[server->entry.service].usual_slowdown;
   usual += kReportWeight * (load.slowdown - usual);
@@ -235,14 +274,18 @@
   if (server == nullptr) return;
   const TimePoint taken_at = now - observation.age;
   if (observation.is_unreachable) {
-    if (server->heard_at < taken_at)
-      server->unreachable_until = now + kFirstBackoff;
+    if (server->heard_at < taken_at && !server->needs_check) {
+      server->needs_check = true;
+      server->needs_check_since = taken_at;
+    }
   } else if (!server->load || server->load_at < taken_at) {
     server->load = ReportedLoad{observation.in_work, observation.slowdown};
     server->load_at = taken_at;
     server->own_in_flight_at_report = server->own_in_flight;
     server->cold_until = taken_at + observation.cold_left;
-    server->unreachable_until = {};
+    // Whoever saw a later state than the absence has checked the server.
+    if (server->needs_check && taken_at > server->needs_check_since)
+      server->needs_check = false;
     server->heard_at = std::max(server->heard_at, taken_at);
     if (server->entry.zone != own_zone_) server->has_news = true;
   }
@@ -263,8 +306,9 @@
   }
   if (server.cold_until > now) observation.cold_left = server.cold_until - now;
   observation.failure_rate = FailureRate(server, now);
-  observation.is_unreachable = server.unreachable_until > now;
-  if (observation.is_unreachable) observation.age = {};
+  observation.is_unreachable = server.needs_check;
+  if (observation.is_unreachable)
+    observation.age = now - server.needs_check_since;
   return observation;
 }
 
@@ -273,7 +317,7 @@
   for (auto& [key, server] : servers_) {
     if (!server->has_news) continue;
     server->has_news = false;
-    if (server->load || server->unreachable_until > now)
+    if (server->load || server->needs_check)
       news.push_back(Observe(*server, now));
   }
   return news;
@@ -283,7 +327,8 @@
                                                      TimePoint now) const {
   std::vector<ServerObservation> known;
   for (const auto& [key, server] : servers_) {
-    if (server->entry.zone != zone || !server->load) continue;
+    if (server->entry.zone != zone) continue;
+    if (!server->load && !server->needs_check) continue;
     known.push_back(Observe(*server, now));
   }
   return known;
@@ -306,10 +351,13 @@
   for (const ServerState* server : found->second.servers) {
     if (!is_usable(*server, now) || server->cold_until > now) continue;
     const double work = EstimatedWork(*server, now);
-    occupancy.slots += server->entry.slots;
+    const double slots = UsableSlots(*server, found->second);
+    occupancy.slots += slots;
     occupancy.in_work += work;
-    if (EstimatedSlowdown(*server, found->second, now) <= kFastSlowdown)
-      occupancy.free_fast_slots += std::max(0.0, server->entry.slots - work);
+    if (EstimatedSlowdown(*server, found->second, now) > kFastSlowdown)
+      continue;
+    occupancy.fast_slots += slots;
+    occupancy.free_fast_slots += std::max(0.0, slots - work);
   }
   return occupancy;
 }
--- a/Libraries/Balancing/server_table.h
+++ b/Libraries/Balancing/server_table.h
@@ -24,10 +24,11 @@
 
 struct Placement {
   ServerKey server;
-  Duration expected{};   // until the answer, by what is known
-  double slowdown = 1;   // estimated for the server
-  unsigned in_work = 0;  // estimated
-  Duration load_age{};   // of the report behind the estimates
+  Duration expected{};         // until the answer, by what is known
+  double slowdown = 1;         // estimated for the server
+  unsigned in_work = 0;        // estimated
+  Duration load_age{};         // of the report behind the estimates
+  bool is_above_knee = false;  // takes the server past ServerTable::kKneePart
 };
 
 // All backend servers that a host knows, and where the next request goes. The
@@ -36,10 +37,15 @@
  public:
   using Random = std::mt19937_64;
 
-  // Part of the slots above which work on a server slows down.
+  // Servers of some services slow down when they work on more than this part of
+  // their slots.
   static constexpr double kKneePart = 0.8;
-  // Slowdown of all work above that part.
-  static constexpr double kKneeSlowdown = 1.5;
+  // Work above the knee that is slower than work below it by this factor shows
+  // that the service has a knee; its servers then get no more than kKneePart.
+  static constexpr double kKneeSlowdown = 1.25;
+  // Cost of the last slots as long as no knee is known, so that they are used
+  // last.
+  static constexpr double kLastSlotsCost = 1.2;
   // A report loses its weight against the service's average at this rate: the
   // load of neighbours on a server's machine changes about twice a second.
   static constexpr Duration kSlowdownMemory = std::chrono::milliseconds(500);
@@ -56,15 +62,16 @@
   // Takes the registrations of all backend servers. A changed start time resets
   // what was known.
   void Replace(const std::vector<ServerEntry>& entries, TimePoint now);
-  void SetEvacuated(std::set<ZoneId> zones) { evacuated_ = std::move(zones); }
+  // Servers of a zone that is taken back may have become cold meanwhile.
+  void SetEvacuated(std::set<ZoneId> zones, TimePoint now);
   // Rate a cold server of this service bears, this host's part of it included.
   void SetColdRate(const ServiceId& service, double per_second);
 
   // The best backend server that has room, or nullopt. `may_use_cold` tells
-  // whether this host may send to cold servers it is responsible for.
+  // whether this host may use the rate that a cold server bears.
   template <typename Predicate>
   std::optional<Placement> Choose(const PlacementQuery& query,
-                                  Predicate is_responsible, Random& random,
+                                  Predicate may_use_cold, Random& random,
                                   TimePoint now);
 
   void OnSent(ServerKey server, TimePoint now);
@@ -74,8 +81,10 @@
   // Another server has its address.
   void OnMisdirected(ServerKey server);
   // A report taken by this host just now.
-  void OnReport(ServerKey server, ReportedLoad load,
+  void OnReport(ServerKey server, ReportSource source, ReportedLoad load,
                 std::optional<Duration> cold_left, TimePoint now);
+  // Duration of ended work relative to what was expected of the server.
+  void OnWorkRatio(ServerKey server, double ratio, bool was_above_knee);
   // What another host told.
   void Merge(const ServerObservation& observation, TimePoint now);
 
@@ -88,9 +97,10 @@
   std::vector<const ServerState*> All() const;
   // Slots and requests at work of the usable servers of a service.
   struct Occupancy {
-    double slots = 0;
+    double slots = 0;  // usable ones, without those above a known knee
     double in_work = 0;
-    double free_fast_slots = 0;  // at servers near the usual speed
+    double fast_slots = 0;       // at servers near the usual speed
+    double free_fast_slots = 0;  // of these, those without work
   };
   Occupancy OccupancyOf(const ServiceId& service, TimePoint now) const;
 
@@ -100,10 +110,17 @@
   struct ServiceServers {
     std::vector<ServerState*> servers;
     double usual_slowdown = 1.5;  // average of recent reports
+    // Average duration of work, relative to the expected one, below and above
+    // the knee.
+    double ratio_below = 1;
+    double ratio_above = 1;
     double cold_rate = 1;
   };
 
+  static void RequireCheck(ServerState& server, TimePoint now);
   bool is_usable(const ServerState& server, TimePoint now) const;
+  static double UsableSlots(const ServerState& server,
+                            const ServiceServers& service);
   bool try_refill_cold(ServerState& server, double rate, TimePoint now) const;
   double EstimatedWork(const ServerState& server, TimePoint now) const;
   double EstimatedSlowdown(const ServerState& server,
@@ -127,7 +144,7 @@
 
 template <typename Predicate>
 std::optional<Placement> ServerTable::Choose(const PlacementQuery& query,
-                                             Predicate is_responsible,
+                                             Predicate may_use_cold,
                                              Random& random, TimePoint now) {
   const auto found = services_.find(query.service);
   if (found == services_.end()) return std::nullopt;
@@ -138,7 +155,7 @@
   for (ServerState* server : found->second.servers) {
     if (!is_usable(*server, now)) continue;
     if (server->cold_until > now &&
-        (!is_responsible(*server) ||
+        (!may_use_cold(*server) ||
          !try_refill_cold(*server, found->second.cold_rate, now))) {
       continue;
     }
--- a/Services/Gateway/directory_sync.cc
+++ b/Services/Gateway/directory_sync.cc
@@ -304,7 +304,7 @@
   for (const ZoneId& zone : zones)
     names += (names.empty() ? "" : ",") + zone.value();
   context_.log->Record(EventId::kZonesEvacuated, {{"zones", names}});
-  context_.servers.SetEvacuated(std::move(zones));
+  context_.servers.SetEvacuated(std::move(zones), MonotonicNow());
 }
 
 bool DirectorySync::is_older(const ServerEntry& entry) const {
--- a/Services/Gateway/fleet_link.cc
+++ b/Services/Gateway/fleet_link.cc
@@ -34,9 +34,10 @@
 }  // namespace
 
 FleetLink::FleetLink(GatewayContext& context, DirectorySync& sync,
-                     Incarnation incarnation)
+                     PlacementService& placements, Incarnation incarnation)
     : context_(context),
       sync_(sync),
+      placements_(placements),
       incarnation_(incarnation),
       socket_(context.io) {}
 
@@ -68,7 +69,11 @@
   // A datagram that cannot be sent is lost like one on the way; the next digest
   // follows within an interval.
   socket_.send_to(asio::buffer(bytes), endpoint, 0, error);
-  context_.metrics.digests_sent.Add();
+  context_.metrics.messages_sent.Add();
+}
+
+void FleetLink::Send(const std::string& ip, const PeerMessage& message) {
+  SendTo(ip, EncodeMessage(message));
 }
 
 FleetDigest FleetLink::BaseDigest(TimePoint now) const {
@@ -99,7 +104,7 @@
     }
     sent_at_ = now;
     tables_sent_ = digest.tables;
-    const auto bytes = EncodeDigest(digest);
+    const auto bytes = EncodeMessage(digest);
     for (const std::string& ip : context_.peers.LiveInOwnZone(now))
       SendTo(ip, bytes);
     context_.metrics.live_hosts.Set(
@@ -124,7 +129,7 @@
       digest.peers = context_.peers.Describe(now);
       peers_told_at = now;
     }
-    const auto bytes = EncodeDigest(digest);
+    const auto bytes = EncodeMessage(digest);
     for (const std::string& ip :
          context_.peers.OneInEachOtherZone(context_.random(), now))
       SendTo(ip, bytes);
@@ -157,7 +162,7 @@
     if (!contacts.empty()) {
       FleetDigest digest = BaseDigest(now);
       digest.peers = context_.peers.Describe(now);
-      const auto bytes = EncodeDigest(digest);
+      const auto bytes = EncodeMessage(digest);
       for (const std::string& ip : contacts) SendTo(ip, bytes);
     }
     timer.expires_after(kContactInterval);
@@ -200,7 +205,7 @@
 
 void FleetLink::AnnounceLeaving() {
   const TimePoint now = MonotonicNow();
-  const auto bytes = EncodeDigest(BaseDigest(now));
+  const auto bytes = EncodeMessage(BaseDigest(now));
   for (const std::string& ip : context_.peers.LiveInOwnZone(now))
     SendTo(ip, bytes);
 }
@@ -212,12 +217,26 @@
         asio::buffer(received_), sender, kUseTuple);
     if (error == asio::error::operation_aborted) co_return;
     if (error) continue;
-    const auto digest = DecodeDigest(received_.data(), size);
-    if (digest) {
-      OnDigest(digest.value());
+    const auto message = DecodeMessage({received_.data(), size});
+    if (message) {
+      OnMessage(sender.address().to_string(), message.value());
       continue;
     }
-    context_.metrics.digests_refused.Add();
+    context_.metrics.messages_refused.Add();
+  }
+}
+
+void FleetLink::OnMessage(const std::string& ip, const PeerMessage& message) {
+  if (const auto* digest = std::get_if<FleetDigest>(&message)) {
+    OnDigest(*digest);
+  } else if (const auto* ask = std::get_if<PlacementAsk>(&message)) {
+    placements_.OnAsk(ip, *ask);
+  } else if (const auto* answer = std::get_if<PlacementAnswer>(&message)) {
+    placements_.OnAnswer(ip, *answer);
+  } else if (const auto* end = std::get_if<PlacementEnd>(&message)) {
+    placements_.OnEnd(ip, *end);
+  } else if (const auto* gone = std::get_if<PlacementWithdrawal>(&message)) {
+    placements_.OnWithdrawal(ip, *gone);
   }
 }
 
--- a/Services/Gateway/fleet_link.h
+++ b/Services/Gateway/fleet_link.h
@@ -9,15 +9,16 @@
 
 #include "Services/Gateway/directory_sync.h"
 #include "Services/Gateway/gateway_context.h"
+#include "Services/Gateway/placement_service.h"
 
 namespace dogwood {
 
-// Exchanges digests with other entry hosts by datagrams: with all hosts of the
-// own availability zone often, and through one host of each zone with the other
-// zones seldom, as bytes between zones are paid for.
+// Exchanges messages with other entry hosts by datagrams. Digests go to all
+// hosts of the own availability zone often, and through one host of each zone
+// to the other zones seldom, as bytes between zones are paid for.
 class FleetLink {
  public:
-  static constexpr Duration kZoneInterval = std::chrono::milliseconds(60);
+  static constexpr Duration kZoneInterval = std::chrono::milliseconds(100);
   // A digest without news only shows that the host lives.
   static constexpr Duration kQuietInterval = std::chrono::milliseconds(250);
   static constexpr Duration kOtherZonesInterval =
@@ -31,10 +32,11 @@
   static constexpr std::size_t kMostObservations = 400;
 
   FleetLink(GatewayContext& context, DirectorySync& sync,
-            Incarnation incarnation);
+            PlacementService& placements, Incarnation incarnation);
 
   // Binds the port; fails with kIo when it is taken.
   Result<void> Start();
+  void Send(const std::string& ip, const PeerMessage& message);
   // Tells all hosts that this one leaves.
   void AnnounceLeaving();
 
@@ -45,12 +47,14 @@
   boost::asio::awaitable<void> Introduce();
   boost::asio::awaitable<void> Register();
   void AddContact(const std::string& ip);
+  void OnMessage(const std::string& ip, const PeerMessage& message);
   void OnDigest(const FleetDigest& digest);
   FleetDigest BaseDigest(TimePoint now) const;
   void SendTo(const std::string& ip, const std::vector<std::uint8_t>& bytes);
 
   GatewayContext& context_;
   DirectorySync& sync_;
+  PlacementService& placements_;
   Incarnation incarnation_;
   boost::asio::ip::udp::socket socket_;
   std::array<std::uint8_t, 65536> received_{};
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -42,10 +42,13 @@
       settings_path_(std::move(settings_path)),
       settings_text_(ReadFile(settings_path_)),
       sync_(context_),
-      link_(context_, sync_, StartTime()),
+      placements_(context_,
+                  [this](const std::string& ip, const PeerMessage& message) {
+                    link_.Send(ip, message);
+                  }),
+      link_(context_, sync_, placements_, StartTime()),
       prober_(context_),
-      queue_(context_),
-      relay_(context_, queue_),
+      relay_(context_, placements_),
       acceptor_(io),
       stop_signals_(io, SIGTERM, SIGINT),
       reload_signals_(io, SIGHUP) {}
@@ -89,7 +92,7 @@
   TRY(link_.Start());
   sync_.Start();
   prober_.Start();
-  queue_.Start();
+  placements_.Start();
   asio::co_spawn(io_, Accept(), asio::detached);
   asio::co_spawn(io_, Sweep(), asio::detached);
   asio::co_spawn(io_, AwaitStop(), asio::detached);
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -11,7 +11,7 @@
 #include "Services/Gateway/directory_sync.h"
 #include "Services/Gateway/fleet_link.h"
 #include "Services/Gateway/health_prober.h"
-#include "Services/Gateway/placement_queue.h"
+#include "Services/Gateway/placement_service.h"
 #include "Services/Gateway/request_relay.h"
 
 namespace dogwood {
@@ -56,9 +56,9 @@
   std::string settings_path_;
   std::string settings_text_;
   DirectorySync sync_;
+  PlacementService placements_;
   FleetLink link_;
   HealthProber prober_;
-  PlacementQueue queue_;
   RequestRelay relay_;
   CallerLoad load_;
   std::set<CallerConnection*> connections_;
--- a/Services/Gateway/gateway_context.h
+++ b/Services/Gateway/gateway_context.h
@@ -27,7 +27,7 @@
         settings(std::move(given_settings)),
         log(std::move(given_log)),
         servers(settings.zone),
-        peers(settings.ip, settings.zone),
+        peers(settings.ip, settings.zone, MonotonicNow()),
         random(std::random_device{}()),
         metrics(registry) {}
 
--- a/Services/Gateway/gateway_metrics.h
+++ b/Services/Gateway/gateway_metrics.h
@@ -21,8 +21,11 @@
         health_checks(registry.CounterOf("dogwood_health_checks_total")),
         answers_skipped(
             registry.CounterOf("dogwood_foreign_answers_skipped_total")),
-        digests_sent(registry.CounterOf("dogwood_digests_sent_total")),
-        digests_refused(registry.CounterOf("dogwood_digests_refused_total")),
+        messages_sent(registry.CounterOf("dogwood_peer_messages_sent_total")),
+        messages_refused(
+            registry.CounterOf("dogwood_peer_messages_refused_total")),
+        silent_dispatchers(
+            registry.CounterOf("dogwood_silent_dispatchers_total")),
         waiting(registry.GaugeOf("dogwood_requests_waiting")),
         in_hand(registry.GaugeOf("dogwood_requests_in_hand")),
         policy_version(registry.GaugeOf("dogwood_policy_version")),
@@ -41,8 +44,9 @@
   Counter& connections_opened;
   Counter& health_checks;
   Counter& answers_skipped;
-  Counter& digests_sent;
-  Counter& digests_refused;
+  Counter& messages_sent;
+  Counter& messages_refused;
+  Counter& silent_dispatchers;
   Gauge& waiting;
   Gauge& in_hand;
   Gauge& policy_version;
--- a/Services/Gateway/health_prober.cc
+++ b/Services/Gateway/health_prober.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <map>
 
 namespace dogwood {
 
@@ -31,13 +32,14 @@
   const Duration least(static_cast<Duration::rep>(
       1.2e9 / std::max(context_.settings.bounds.probes_per_second, 0.01)));
   if (since_asked < least) return false;
-  if (server.unreachable_until > now) return false;
+  if (server.next_check_at > now) return false;
   if (context_.servers.evacuated().contains(server.entry.zone) &&
       since_asked < kIdleRenewAfter) {
     return false;
   }
-  const bool is_fresh = server.load && now - server.load_at < kRenewAfter;
-  return !is_fresh && context_.peers.is_responsible(server, now);
+  const bool is_fresh =
+      !server.needs_check && server.load && now - server.load_at < kRenewAfter;
+  return !is_fresh;
 }
 
 asio::awaitable<void> HealthProber::Scan() {
@@ -47,8 +49,18 @@
     co_await timer.async_wait(kUseTuple);
     if (!context_.routes) continue;
     const TimePoint now = MonotonicNow();
+    // The answer is the same for all servers of a service in a zone.
+    std::map<std::pair<ServiceId, ZoneId>, bool> is_responsible;
     for (const ServerState* server : context_.servers.All()) {
       if (!is_due(*server, now)) continue;
+      const ServiceId& service = server->entry.service;
+      const ZoneId& zone = server->entry.zone;
+      const auto [known, is_new] =
+          is_responsible.try_emplace({service, zone}, false);
+      if (is_new) {
+        known->second = context_.peers.is_responsible(service, zone, now);
+      }
+      if (!known->second) continue;
       asking_.insert(server->key);
       asked_at_[server->key] = now;
       asio::co_spawn(context_.io, Ask(server->key), asio::detached);
@@ -134,7 +146,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(cold_left)
               .count()}});
   }
-  context_.servers.OnReport(key, load, headers.cold_left, now);
+  context_.servers.OnReport(key, ReportSource::kHealthCheck, load,
+                            headers.cold_left, now);
 }
 
 }  // namespace dogwood
--- a/Services/Gateway/request_relay.cc
+++ b/Services/Gateway/request_relay.cc
@@ -39,8 +39,11 @@
 
 }  // namespace
 
-RequestRelay::RequestRelay(GatewayContext& context, PlacementQueue& queue)
-    : context_(context), queue_(queue), pool_(context.io.get_executor()) {}
+RequestRelay::RequestRelay(GatewayContext& context,
+                           PlacementService& placements)
+    : context_(context),
+      placements_(placements),
+      pool_(context.io.get_executor()) {}
 
 Duration RequestRelay::UsualWork(const RouteEntry& route) {
   Duration& work = statistics_[route.name].usual_work;
@@ -95,67 +98,70 @@
   co_return reply;
 }
 
-asio::awaitable<Reply> RequestRelay::Travel(Journey& journey) {
+DispatchRequest RequestRelay::Describe(const Journey& journey) {
   const CallerRequest& request = journey.request;
   RouteStatistics& statistics = statistics_[journey.route.name];
   const Duration waits = request.caller.time_left.value_or(kDefaultDeadline);
   statistics.longest_wait = std::max(statistics.longest_wait, waits);
-  WaitingRequest waiting(context_.io.get_executor(), journey.route,
-                         journey.service);
-  waiting.usual_work = UsualWork(journey.route);
+  DispatchRequest described;
+  described.host = context_.settings.ip;
+  described.number = placements_.NextNumber();
+  described.service = journey.service;
+  described.priority = journey.route.priority;
+  described.usual_work = UsualWork(journey.route);
+  described.goal = journey.route.latency_goal;
   // The goal counts from the caller's first try.
-  waiting.goal_at = request.arrived_at + journey.route.latency_goal -
-                    (statistics.longest_wait - waits);
-  waiting.deadline = journey.deadline;
-  waiting.arrived_at = request.arrived_at;
-  waiting.body_bytes = request.body.size();
+  described.goal_at = request.arrived_at + journey.route.latency_goal -
+                      (statistics.longest_wait - waits);
+  described.deadline = journey.deadline;
+  described.arrived_at = MonotonicNow();
+  described.body_bytes = request.body.size();
+  described.excluded = journey.tried;
+  return described;
+}
+
+PlacementEnd RequestRelay::EndOf(std::uint64_t number,
+                                 const Placement& placement,
+                                 const Attempt& attempt, Duration usual_work) {
+  PlacementEnd end{number, placement.server, attempt.outcome, attempt.load};
+  if (attempt.outcome != AttemptOutcome::kServed) return end;
+  end.work_ratio = static_cast<double>(attempt.elapsed.count()) /
+                   (static_cast<double>(usual_work.count()) *
+                    std::max(placement.slowdown, 1.0));
+  end.was_above_knee = placement.is_above_knee;
+  return end;
+}
+
+asio::awaitable<Reply> RequestRelay::Travel(Journey& journey) {
+  const CallerRequest& request = journey.request;
   for (;;) {
-    waiting.verdict = AdmissionVerdict::kWait;
-    waiting.placement.reset();
-    queue_.Add(waiting);
-    if (waiting.verdict == AdmissionVerdict::kWait) {
-      const auto ended = co_await (
-          AwaitTime(journey.deadline) || AwaitLeaving(request.socket) ||
-          waiting.decided.async_wait(asio::as_tuple(asio::use_awaitable)));
-      queue_.Remove(waiting);
-      const bool is_granted = waiting.verdict == AdmissionVerdict::kSend;
-      if (ended.index() == 1) {
-        if (is_granted) {
-          context_.servers.OnEnded(waiting.placement->server,
-                                   AttemptOutcome::kAbandoned, MonotonicNow());
-        }
-        context_.metrics.caller_left.Add();
-        context_.log->Record(
-            EventId::kRequestAbandoned,
-            {{"request", request.caller.id.value()}, {"phase", "waiting"}});
-        co_return OwnReply(ReplyOutcome::kCallerLeft, kUnavailable,
-                           request.caller.id, "the caller left");
-      }
-    }
-    if (waiting.verdict != AdmissionVerdict::kSend) {
+    DispatchRequest described = Describe(journey);
+    const std::uint64_t number = described.number;
+    const Duration usual_work = described.usual_work;
+    PlacementService::Ticket ticket(placements_, std::move(described));
+    const auto ended =
+        co_await (ticket.Await() || AwaitTime(journey.deadline) ||
+                  AwaitLeaving(request.socket));
+    if (ended.index() == 2) co_return Abandon(journey, "waiting");
+    const auto& decision = ticket.decision();
+    if (!decision || decision->verdict != AdmissionVerdict::kSend) {
       co_return Refuse(journey, "no backend server has room",
-                       waiting.retry_after, waiting.placement);
+                       decision ? decision->retry_after : usual_work,
+                       decision ? decision->placement : std::nullopt);
     }
-    const Placement placement = *waiting.placement;
+    const Placement placement = *decision->placement;
     context_.metrics.placement_wait.Record(MonotonicNow() - request.arrived_at);
     Attempt attempt = co_await Try(journey, placement);
     const TimePoint now = MonotonicNow();
-    context_.servers.OnEnded(placement.server, attempt.outcome, now);
-    queue_.Review();
-    if (attempt.has_caller_left) {
-      context_.metrics.caller_left.Add();
-      context_.log->Record(EventId::kRequestAbandoned,
-                           {{"request", request.caller.id.value()},
-                            {"phase", "at a backend server"}});
-      co_return OwnReply(ReplyOutcome::kCallerLeft, kUnavailable,
-                         request.caller.id, "the caller left");
-    }
-    waiting.excluded.push_back(placement.server);
+    ticket.End(EndOf(number, placement, attempt, usual_work));
+    if (attempt.has_caller_left)
+      co_return Abandon(journey, "at a backend server");
+    journey.tried.push_back(placement.server);
     journey.may_have_run = journey.may_have_run ||
                            attempt.outcome == AttemptOutcome::kFailed ||
                            attempt.outcome == AttemptOutcome::kLost;
     if (may_repeat(journey, attempt, now)) continue;
-    Reply reply = FinalReply(journey, attempt, waiting.usual_work);
+    Reply reply = FinalReply(journey, attempt, usual_work);
     if (attempt.connection && attempt.connection->is_reusable())
       pool_.Return(placement.server, std::move(attempt.connection), now);
     LogOutcome(journey, reply, placement);
@@ -163,6 +169,15 @@
   }
 }
 
+Reply RequestRelay::Abandon(const Journey& journey, std::string_view phase) {
+  const RequestId& id = journey.request.caller.id;
+  context_.metrics.caller_left.Add();
+  context_.log->Record(EventId::kRequestAbandoned,
+                       {{"request", id.value()}, {"phase", phase}});
+  return OwnReply(ReplyOutcome::kCallerLeft, kUnavailable, id,
+                  "the caller left");
+}
+
 asio::awaitable<RequestRelay::Attempt> RequestRelay::Try(
     Journey& journey, const Placement& placement) {
   Attempt attempt;
@@ -220,8 +235,9 @@
     co_return attempt;
   }
   attempt.has_answer = true;
-  attempt.outcome = Classify(*connection, journey, seen, now);
+  attempt.elapsed = now - started_at;
   attempt.connection = std::move(connection);
+  attempt.outcome = Classify(attempt, journey, seen, now);
   if (attempt.outcome == AttemptOutcome::kServed)
     LearnWork(journey.route, now - started_at, placement.slowdown);
   co_return attempt;
@@ -259,10 +275,10 @@
                                          request.head.method == "HEAD");
 }
 
-AttemptOutcome RequestRelay::Classify(ServerConnection& connection,
-                                      const Journey& journey,
+AttemptOutcome RequestRelay::Classify(Attempt& attempt, const Journey& journey,
                                       const ServerState& server,
                                       TimePoint now) {
+  ServerConnection& connection = *attempt.connection;
   constexpr unsigned kMisdirected = 421;
   constexpr unsigned kFirstSuccess = 200;
   constexpr unsigned kFirstRedirect = 300;
@@ -272,11 +288,8 @@
   connection.idle_limit = headers.keep_alive;
   context_.metrics.answers_skipped.Add(connection.skipped_answers());
   if (headers.load) {
-    // The answered request is no longer at work.
-    context_.servers.OnReport(
-        server.key,
-        {headers.load->running + headers.load->waiting, headers.load->slowdown},
-        headers.cold_left, now);
+    attempt.load = ReportedLoad{headers.load->running + headers.load->waiting,
+                                headers.load->slowdown};
   }
   if (answer.status == kMisdirected) return AttemptOutcome::kMisdirected;
   if (headers.is_not_run) return AttemptOutcome::kShed;
--- a/Services/Gateway/request_relay.h
+++ b/Services/Gateway/request_relay.h
@@ -5,7 +5,7 @@
 
 #include "Services/Gateway/caller_request.h"
 #include "Services/Gateway/gateway_context.h"
-#include "Services/Gateway/placement_queue.h"
+#include "Services/Gateway/placement_service.h"
 #include "Services/Gateway/server_connection_pool.h"
 
 namespace dogwood {
@@ -22,7 +22,7 @@
   // One served request in this number is logged.
   static constexpr std::uint64_t kServedSample = 50;
 
-  RequestRelay(GatewayContext& context, PlacementQueue& queue);
+  RequestRelay(GatewayContext& context, PlacementService& placements);
 
   boost::asio::awaitable<Reply> Serve(const CallerRequest& request);
   void CloseIdleConnections(TimePoint now) { pool_.CloseIdle(now); }
@@ -38,6 +38,7 @@
     unsigned attempts = 0;      // backend servers that got the request
     unsigned unreachable = 0;   // backend servers that it could not be sent to
     bool may_have_run = false;  // at one of the backend servers so far
+    std::vector<ServerKey> tried;
   };
   struct Attempt {
     AttemptOutcome outcome = AttemptOutcome::kAbandoned;
@@ -45,10 +46,14 @@
     bool has_caller_left = false;
     std::unique_ptr<ServerConnection> connection;  // with kServed, kFailed, ...
     bool has_answer = false;
+    std::optional<ReportedLoad> load;  // told with the answer
+    Duration elapsed{};                // from sending to the answer's end
   };
-  enum class NextStep { kAnswer, kRepeat };
 
   boost::asio::awaitable<Reply> Travel(Journey& journey);
+  DispatchRequest Describe(const Journey& journey);
+  static PlacementEnd EndOf(std::uint64_t number, const Placement& placement,
+                            const Attempt& attempt, Duration usual_work);
   boost::asio::awaitable<Attempt> Try(Journey& journey,
                                       const Placement& placement);
   boost::asio::awaitable<ExchangeEnd> Exchange(ServerConnection& connection,
@@ -57,11 +62,12 @@
   boost::asio::awaitable<bool> Connect(ServerConnection& connection,
                                        const ServerState& server,
                                        TimePoint deadline);
-  AttemptOutcome Classify(ServerConnection& connection, const Journey& journey,
+  AttemptOutcome Classify(Attempt& attempt, const Journey& journey,
                           const ServerState& server, TimePoint now);
   bool may_repeat(Journey& journey, const Attempt& attempt, TimePoint now);
   Reply FinalReply(const Journey& journey, Attempt& attempt,
                    Duration retry_after);
+  Reply Abandon(const Journey& journey, std::string_view phase);
   Reply Refuse(const Journey& journey, std::string_view reason,
                Duration retry_after, const std::optional<Placement>& seen);
   void LogOutcome(const Journey& journey, const Reply& reply,
@@ -70,7 +76,7 @@
   void LearnWork(const RouteEntry& route, Duration elapsed, double slowdown);
 
   GatewayContext& context_;
-  PlacementQueue& queue_;
+  PlacementService& placements_;
   ServerConnectionPool pool_;
   // Duration of work by route at servers that are not slowed, and the longest
   // time a caller was seen to wait, which tells first tries from later ones.
