--- a/Libraries/Balancing/admission.h
+++ b/Libraries/Balancing/admission.h
@@ -13,7 +13,7 @@
 class Admission {
  public:
   // A request still within its goal leaves this reserve for the work itself.
-  static constexpr double kWorkReserve = 1.15;  // times the usual work
+  static constexpr double kWorkReserve = 2.2;  // times the usual work
   // A late request waits this part of its goal for room before it is refused:
   // its caller can come back sooner than it would be served here.
   static constexpr double kLateWait = 0.12;
--- a/Libraries/Balancing/peer_message.cc
+++ b/Libraries/Balancing/peer_message.cc
@@ -212,12 +212,14 @@
 }
 
 Result<PeerMessage> DecodeMessage(std::span<const std::uint8_t> bytes) {
-  const Json root = Json::from_cbor(bytes.begin(), bytes.end(), /*strict=*/true,
-                                    /*allow_exceptions=*/false);
-  if (!root.is_array() || root.size() < 3 || root[0] != kFormatVersion)
-    return Fail(ErrorCode::kProtocol, "message of an unknown format");
-  // Typed access of the JSON library reports wrong types by exceptions only.
+  // The JSON library reports wrong types, and sizes beyond its limit, by
+  // exceptions only.
   try {
+    const Json root = Json::from_cbor(bytes.begin(), bytes.end(),
+                                      /*strict=*/true,
+                                      /*allow_exceptions=*/false);
+    if (!root.is_array() || root.size() < 3 || root[0] != kFormatVersion)
+      return Fail(ErrorCode::kProtocol, "message of an unknown format");
     return MessageFrom(root);
   } catch (const Json::exception& exception) {
     return Fail(ErrorCode::kProtocol,
--- a/Services/Gateway/directory_sync.cc
+++ b/Services/Gateway/directory_sync.cc
@@ -50,10 +50,11 @@
 };
 
 Result<PeerRows> DecodeRows(const std::string& bytes) {
-  const Json root = Json::from_cbor(bytes, /*strict=*/true,
-                                    /*allow_exceptions=*/false);
-  // Typed access of the JSON library reports wrong types by exceptions only.
+  // The JSON library reports wrong types, and sizes beyond its limit, by
+  // exceptions only.
   try {
+    const Json root = Json::from_cbor(bytes, /*strict=*/true,
+                                      /*allow_exceptions=*/false);
     PeerRows decoded;
     decoded.rows.as_of = StoreVersion(root.at(0).get<std::uint64_t>());
     decoded.is_whole = root.at(1).get<bool>();
--- /dev/null
+++ b/Tests/Libraries/Balancing/route_table_test.cc
@@ -0,0 +1,80 @@
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "Tests/Libraries/Balancing/balancing_fixture.h"
+
+namespace dogwood {
+namespace {
+
+RouteEntry MakeRoute(const std::string& host, const std::string& prefix,
+                     const std::string& service) {
+  RouteEntry route;
+  route.name = host + prefix;
+  route.host = host;
+  route.path_prefix = prefix;
+  route.services = {{ServiceId(service), 1}};
+  return route;
+}
+
+RouteTable MakeTable() {
+  FleetPolicy policy;
+  policy.version = SettingsVersion(3);
+  policy.routes = {MakeRoute("a.example", "/x/", "short"),
+                   MakeRoute("a.example", "/x/y/", "long"),
+                   MakeRoute("b.example", "/", "root")};
+  return RouteTable(std::move(policy));
+}
+
+std::string ServiceOf(const RouteTable& table, std::string_view host,
+                      std::string_view target) {
+  const RouteEntry* route = table.Match(host, target);
+  return route == nullptr ? "none" : route->services.front().service.value();
+}
+
+// Guards against requests that reach the service of a shorter prefix.
+TEST_CASE("The longest prefix that begins the path is matched") {
+  const RouteTable table = MakeTable();
+  CHECK(ServiceOf(table, "a.example", "/x/1") == "short");
+  CHECK(ServiceOf(table, "a.example", "/x/y/1") == "long");
+  CHECK(ServiceOf(table, "a.example", "/x/y") == "short");
+  CHECK(ServiceOf(table, "b.example", "/anything/else") == "root");
+}
+
+TEST_CASE("Case and port of the host and the query do not matter") {
+  const RouteTable table = MakeTable();
+  CHECK(ServiceOf(table, "A.Example:8080", "/x/1?q=/x/y/") == "short");
+  CHECK(ServiceOf(table, "b.example", "/?a/b/c") == "root");
+}
+
+TEST_CASE("Other hosts and paths match nothing") {
+  const RouteTable table = MakeTable();
+  CHECK(ServiceOf(table, "c.example", "/x/1") == "none");
+  CHECK(ServiceOf(table, "a.example", "/z/1") == "none");
+  CHECK(ServiceOf(table, "a.example", "/") == "none");
+  CHECK(ServiceOf(table, "a.example", "") == "none");
+}
+
+// Guards against a split that drifts from its weights.
+TEST_CASE("A split is served in proportion to its weights") {
+  RouteEntry route = MakeRoute("a.example", "/", "first");
+  route.services = {{ServiceId("first"), 90}, {ServiceId("second"), 10}};
+  std::mt19937_64 random(7);
+  std::map<std::string, int> counts;
+  constexpr int kRequests = 10000;
+  for (int i = 0; i < kRequests; ++i)
+    ++counts[PickService(route, random).value()];
+  CHECK(counts["second"] > kRequests * 0.08);
+  CHECK(counts["second"] < kRequests * 0.12);
+}
+
+TEST_CASE("A part without weight gets nothing") {
+  RouteEntry route = MakeRoute("a.example", "/", "first");
+  route.services = {{ServiceId("first"), 0}, {ServiceId("second"), 1}};
+  std::mt19937_64 random(7);
+  for (int i = 0; i < 1000; ++i)
+    REQUIRE(PickService(route, random).value() == "second");
+}
+
+}  // namespace
+}  // namespace dogwood
