Gateway: Cut the cost of hosts that tell each other

Every host repeated other zones' news (an age truncated to milliseconds looked newer at each hop), pruned its peers on every record, and woke 66 times a second for an empty queue; copies that were confirmed a second ago made hosts read the store themselves. Change: dispatchers tell those of the same service in other zones directly and nobody passes news on; the queue is reviewed only while requests wait, with one search of a full service a pass; registrations are decoded once; small hosts do not dispatch; a copy counts as stale after 1.4 s; a host that is registered already does not write its row again. Ruled out on the way: a host capacity that was lost on the wire made every host its own dispatcher (75,000 health checks); the message test now checks it.

--- a/Libraries/Balancing/dispatcher.cc
+++ b/Libraries/Balancing/dispatcher.cc
@@ -8,11 +8,12 @@
 
 std::optional<DispatchDecision> Dispatcher::Add(DispatchRequest request,
                                                 TimePoint now) {
-  const auto before = static_cast<std::size_t>(std::count_if(
+  ServicePass pass;
+  pass.waiting_before = static_cast<std::size_t>(std::count_if(
       waiting_.begin(), waiting_.end(), [&](const DispatchRequest& other) {
         return other.service == request.service;
       }));
-  auto decision = Decide(request, before, now);
+  auto decision = Decide(request, pass, now);
   if (!decision) waiting_.push_back(std::move(request));
   return decision;
 }
@@ -57,12 +58,12 @@
             [&](const DispatchRequest& left, const DispatchRequest& right) {
               return order(left) < order(right);
             });
-  std::map<ServiceId, std::size_t> before;
+  std::map<ServiceId, ServicePass> passes;
   std::erase_if(waiting_, [&](const DispatchRequest& request) {
-    std::size_t& ahead = before[request.service];
-    auto decision = Decide(request, ahead, now);
+    ServicePass& pass = passes[request.service];
+    auto decision = Decide(request, pass, now);
     if (!decision) {
-      ++ahead;
+      ++pass.waiting_before;
       return false;
     }
     decisions.push_back(std::move(*decision));
@@ -72,25 +73,31 @@
 }
 
 std::optional<DispatchDecision> Dispatcher::Decide(
-    const DispatchRequest& request, std::size_t before, TimePoint now) {
+    const DispatchRequest& request, ServicePass& pass, TimePoint now) {
   Admission::Input input{{request.service, request.usual_work, request.goal,
                           request.goal_at - now, request.deadline - now,
                           request.body_bytes, request.excluded}};
-  input.placement = servers_.Choose(
-      input.query,
-      [&](const ServerState& server) {
-        return peers_.may_use_alone(server, now);
-      },
-      random_, now);
+  if (!pass.is_full) {
+    input.placement = servers_.Choose(
+        input.query,
+        [&](const ServerState& server) {
+          return peers_.may_use_alone(server, now);
+        },
+        random_, now);
+    pass.is_full = !input.placement && request.excluded.empty();
+  }
   input.waited = now - request.arrived_at;
-  input.occupancy = servers_.OccupancyOf(request.service, now);
-  input.waiting_before = before;
+  if (!pass.occupancy)
+    pass.occupancy = servers_.OccupancyOf(request.service, now);
+  input.occupancy = *pass.occupancy;
+  input.waiting_before = pass.waiting_before;
   input.dispatcher_count = peers_.LiveZoneCount(now);
   DispatchDecision decision{request.host, request.number,
                             Admission::Decide(input), input.placement};
   if (decision.verdict == AdmissionVerdict::kWait) return std::nullopt;
   decision.occupancy = input.occupancy;
   if (decision.verdict == AdmissionVerdict::kSend) {
+    pass.occupancy.reset();
     servers_.OnSent(input.placement->server, now);
     grants_.push_back({request.host, request.number, input.placement->server,
                        request.deadline + kGrantMargin});
--- a/Libraries/Balancing/dispatcher.h
+++ b/Libraries/Balancing/dispatcher.h
@@ -70,8 +70,16 @@
     TimePoint expires_at{};
   };
 
+  // What one pass over the queue knows of a service.
+  struct ServicePass {
+    std::size_t waiting_before = 0;
+    // A request found no server; others do not search again.
+    bool is_full = false;
+    std::optional<ServerTable::Occupancy> occupancy;
+  };
+
   std::optional<DispatchDecision> Decide(const DispatchRequest& request,
-                                         std::size_t before, TimePoint now);
+                                         ServicePass& pass, TimePoint now);
   void TakeBackOverdue(TimePoint now);
 
   ServerTable& servers_;
--- a/Libraries/Balancing/peer_message.cc
+++ b/Libraries/Balancing/peer_message.cc
@@ -44,13 +44,16 @@
 
 Json ToJson(const PeerRecord& peer) {
   return Json::array({peer.ip, peer.zone.value(), peer.incarnation.value(),
-                      ToMs(peer.age), peer.is_leaving});
+                      ToMs(peer.age), peer.is_leaving, peer.capacity});
 }
 
 PeerRecord PeerFrom(const Json& item) {
-  return {item.at(0).get<std::string>(), ZoneId(item.at(1).get<std::string>()),
-          Incarnation(item.at(2).get<std::uint64_t>()), FromMs(item.at(3)),
-          item.at(4).get<bool>()};
+  return {item.at(0).get<std::string>(),
+          ZoneId(item.at(1).get<std::string>()),
+          Incarnation(item.at(2).get<std::uint64_t>()),
+          FromMs(item.at(3)),
+          item.at(4).get<bool>(),
+          item.at(5).get<unsigned>()};
 }
 
 Json ToJson(const ServerObservation& seen) {
--- a/Libraries/Balancing/peer_table.cc
+++ b/Libraries/Balancing/peer_table.cc
@@ -6,13 +6,24 @@
 
 namespace dogwood {
 
+PeerTable::PeerTable(std::string own_ip, ZoneId own_zone, unsigned own_capacity,
+                     TimePoint started_at)
+    : own_ip_(std::move(own_ip)),
+      own_zone_(std::move(own_zone)),
+      own_capacity_(own_capacity),
+      own_hash_(NameHash(own_ip_)),
+      started_at_(started_at) {}
+
 bool PeerTable::Merge(const PeerRecord& record, TimePoint now) {
   if (record.ip == own_ip_) return false;
   const TimePoint heard_at = now - record.age;
   if (record.age > kForgetAfter) return false;
-  std::erase_if(peers_, [&](const auto& item) {
-    return now - item.second.heard_at > kForgetAfter;
-  });
+  if (now - pruned_at_ >= kPruneInterval) {
+    pruned_at_ = now;
+    std::erase_if(peers_, [&](const auto& item) {
+      return now - item.second.heard_at > kForgetAfter;
+    });
+  }
   const auto [found, is_new] = peers_.try_emplace(record.ip);
   Peer& peer = found->second;
   if (is_new) peer.hash = NameHash(record.ip);
@@ -25,6 +36,7 @@
   }
   peer.incarnation = record.incarnation;
   peer.zone = record.zone;
+  peer.capacity = record.capacity;
   peer.heard_at = std::max(peer.heard_at, heard_at);
   peer.is_leaving = peer.is_leaving || record.is_leaving;
   return is_new || is_restarted || (!was_live && is_live(peer, now));
@@ -46,12 +58,21 @@
   return live;
 }
 
-template <typename Predicate>
-std::vector<std::string> PeerTable::OneOfEachOtherZone(
-    std::uint64_t draw, Predicate is_wanted) const {
+std::vector<std::string> PeerTable::SilentInOwnZone(TimePoint now) const {
+  std::vector<std::string> silent;
+  for (const auto& [ip, peer] : peers_) {
+    if (peer.zone == own_zone_ && now - peer.heard_at > kSilenceInZone)
+      silent.push_back(ip);
+  }
+  return silent;
+}
+
+std::vector<std::string> PeerTable::OneSilentInEachOtherZone(
+    std::uint64_t draw, TimePoint now) const {
   std::map<ZoneId, std::pair<std::uint64_t, std::string>> best;
   for (const auto& [ip, peer] : peers_) {
-    if (peer.zone == own_zone_ || !is_wanted(peer)) continue;
+    if (peer.zone == own_zone_ || now - peer.heard_at <= kSilenceAcrossZones)
+      continue;
     const std::uint64_t weight = MixHashes(draw, peer.hash);
     auto& [best_weight, best_ip] = best[peer.zone];
     if (!best_ip.empty() && weight <= best_weight) continue;
@@ -64,26 +85,12 @@
   return chosen;
 }
 
-std::vector<std::string> PeerTable::OneInEachOtherZone(std::uint64_t draw,
-                                                       TimePoint now) const {
-  return OneOfEachOtherZone(
-      draw, [&](const Peer& peer) { return is_live(peer, now); });
-}
-
-std::vector<std::string> PeerTable::SilentInOwnZone(TimePoint now) const {
-  std::vector<std::string> silent;
-  for (const auto& [ip, peer] : peers_) {
-    if (peer.zone == own_zone_ && now - peer.heard_at > kSilenceInZone)
-      silent.push_back(ip);
-  }
-  return silent;
-}
-
-std::vector<std::string> PeerTable::OneSilentInEachOtherZone(
-    std::uint64_t draw, TimePoint now) const {
-  return OneOfEachOtherZone(draw, [&](const Peer& peer) {
-    return now - peer.heard_at > kSilenceAcrossZones;
-  });
+std::vector<PeerRecord> PeerTable::DescribeZone(const ZoneId& zone,
+                                                TimePoint now) const {
+  std::vector<PeerRecord> records = Describe(now);
+  std::erase_if(records,
+                [&](const PeerRecord& peer) { return peer.zone != zone; });
+  return records;
 }
 
 std::vector<PeerRecord> PeerTable::Describe(TimePoint now) const {
@@ -91,7 +98,8 @@
   for (const auto& [ip, peer] : peers_) {
     const Duration age = now - peer.heard_at;
     if (age > kSilenceAcrossZones) continue;
-    records.push_back({ip, peer.zone, peer.incarnation, age, peer.is_leaving});
+    records.push_back(
+        {ip, peer.zone, peer.incarnation, age, peer.is_leaving, peer.capacity});
   }
   return records;
 }
@@ -105,7 +113,7 @@
 }
 
 std::size_t PeerTable::RankFor(std::uint64_t task, TimePoint now) const {
-  const std::uint64_t own = MixHashes(NameHash(own_ip_), task);
+  const std::uint64_t own = MixHashes(own_hash_, task);
   std::size_t rank = 0;
   for (const auto& [ip, peer] : peers_) {
     if (peer.zone == own_zone_ && is_live(peer, now) &&
@@ -117,25 +125,50 @@
 }
 
 std::string PeerTable::DispatcherFor(const ServiceId& service,
-                                     TimePoint now) const {
+                                     const ZoneId& zone, TimePoint now) const {
   const std::uint64_t task = NameHash(service.value());
-  std::uint64_t best = MixHashes(NameHash(own_ip_), task);
-  const std::string* chosen = &own_ip_;
+  const bool is_own = zone == own_zone_;
+  unsigned greatest = is_own ? own_capacity_ : 0;
   for (const auto& [ip, peer] : peers_) {
-    if (peer.zone != own_zone_ || !is_live(peer, now)) continue;
-    const std::uint64_t weight = MixHashes(peer.hash, task);
-    if (weight <= best) continue;
+    if (peer.zone == zone && is_live(peer, now))
+      greatest = std::max(greatest, peer.capacity);
+  }
+  const double least = kDispatcherCapacity * greatest;
+  const std::string* chosen = nullptr;
+  std::uint64_t best = 0;
+  const auto consider = [&](const std::string& ip, unsigned capacity,
+                            std::uint64_t hash) {
+    const std::uint64_t weight = MixHashes(hash, task);
+    if (capacity < least || (chosen != nullptr && weight <= best)) return;
     best = weight;
     chosen = &ip;
+  };
+  if (is_own) consider(own_ip_, own_capacity_, own_hash_);
+  for (const auto& [ip, peer] : peers_) {
+    if (peer.zone == zone && is_live(peer, now))
+      consider(ip, peer.capacity, peer.hash);
+  }
+  return chosen == nullptr ? std::string() : *chosen;
+}
+
+std::vector<std::string> PeerTable::OtherDispatchersFor(
+    const ServiceId& service, TimePoint now) const {
+  std::set<ZoneId> zones;
+  for (const auto& [ip, peer] : peers_) {
+    if (peer.zone != own_zone_ && is_live(peer, now)) zones.insert(peer.zone);
   }
-  return *chosen;
+  std::vector<std::string> dispatchers;
+  for (const ZoneId& zone : zones)
+    dispatchers.push_back(DispatcherFor(service, zone, now));
+  return dispatchers;
 }
 
 bool PeerTable::is_responsible(const ServiceId& service, const ZoneId& zone,
                                TimePoint now) const {
-  if (zone == own_zone_) return DispatcherFor(service, now) == own_ip_;
+  if (zone == own_zone_)
+    return DispatcherFor(service, own_zone_, now) == own_ip_;
   const std::uint64_t task = NameHash(service.value());
-  const std::uint64_t own = MixHashes(NameHash(own_ip_), task);
+  const std::uint64_t own = MixHashes(own_hash_, task);
   for (const auto& [ip, peer] : peers_) {
     if (!is_live(peer, now)) continue;
     if (peer.zone == zone || MixHashes(peer.hash, task) > own) return false;
--- a/Libraries/Balancing/peer_table.h
+++ b/Libraries/Balancing/peer_table.h
@@ -17,6 +17,7 @@
   Incarnation incarnation;  // a later start of the same address is greater
   Duration age{};           // since somebody heard from it
   bool is_leaving = false;
+  unsigned capacity = 0;  // processor time, in hundredths of a core
 };
 
 // The live entry hosts and which of them is responsible for what. Without a
@@ -24,42 +25,47 @@
 class PeerTable {
  public:
   // A host of the own zone tells something several times in this span.
-  static constexpr Duration kSilenceInZone = std::chrono::milliseconds(900);
+  static constexpr Duration kSilenceInZone = std::chrono::milliseconds(1000);
   // News from other zones passes through more hosts.
   static constexpr Duration kSilenceAcrossZones = std::chrono::seconds(4);
   // A silent host is still told of the own existence for this long; cuts last
   // minutes.
   static constexpr Duration kForgetAfter = std::chrono::minutes(10);
+  static constexpr Duration kPruneInterval = std::chrono::seconds(10);
+  // Hosts with less than this part of a zone's greatest capacity do not
+  // dispatch: dispatching takes processor time that a small host lacks.
+  static constexpr double kDispatcherCapacity = 0.6;
 
   // Hosts that start together have found each other after this time.
   static constexpr Duration kSettleTime = std::chrono::milliseconds(1500);
 
-  PeerTable(std::string own_ip, ZoneId own_zone, TimePoint started_at)
-      : own_ip_(std::move(own_ip)),
-        own_zone_(std::move(own_zone)),
-        started_at_(started_at) {}
+  PeerTable(std::string own_ip, ZoneId own_zone, unsigned own_capacity,
+            TimePoint started_at);
 
   // Takes what a host told of itself or of another one. Returns whether the
   // host was unknown, restarted, or silent before.
   bool Merge(const PeerRecord& peer, TimePoint now);
 
   std::vector<std::string> LiveInOwnZone(TimePoint now) const;
-  // One live host of every other zone, chosen by `draw`.
-  std::vector<std::string> OneInEachOtherZone(std::uint64_t draw,
-                                              TimePoint now) const;
   // Known hosts that were not heard lately, to find each other again after a
   // partition: all of the own zone and, by `draw`, one of each other zone.
   std::vector<std::string> SilentInOwnZone(TimePoint now) const;
   std::vector<std::string> OneSilentInEachOtherZone(std::uint64_t draw,
                                                     TimePoint now) const;
   std::vector<PeerRecord> Describe(TimePoint now) const;
+  std::vector<PeerRecord> DescribeZone(const ZoneId& zone, TimePoint now) const;
   // Live hosts, this one included.
   std::size_t LiveCount(TimePoint now) const;
 
   // Position of this host in the order of the own zone's live hosts for a task.
   std::size_t RankFor(std::uint64_t task, TimePoint now) const;
-  // The live host of the own zone that dispatches the requests for a service.
-  std::string DispatcherFor(const ServiceId& service, TimePoint now) const;
+  // The live host of a zone that dispatches the requests for a service; empty
+  // when the zone has none.
+  std::string DispatcherFor(const ServiceId& service, const ZoneId& zone,
+                            TimePoint now) const;
+  // The dispatchers for a service in all other zones.
+  std::vector<std::string> OtherDispatchersFor(const ServiceId& service,
+                                               TimePoint now) const;
   // Whether this host watches a service's backend servers in a zone: the
   // dispatcher of that zone or, if it has no live host, one host of all.
   bool is_responsible(const ServiceId& service, const ZoneId& zone,
@@ -80,17 +86,18 @@
     Incarnation incarnation;
     TimePoint heard_at{};
     bool is_leaving = false;
+    unsigned capacity = 0;
     std::uint64_t hash = 0;
   };
 
   bool is_live(const Peer& peer, TimePoint now) const;
-  template <typename Predicate>
-  std::vector<std::string> OneOfEachOtherZone(std::uint64_t draw,
-                                              Predicate is_wanted) const;
 
   std::string own_ip_;
   ZoneId own_zone_;
+  unsigned own_capacity_;
+  std::uint64_t own_hash_;
   TimePoint started_at_;
+  TimePoint pruned_at_{};
   std::map<std::string, Peer> peers_;
 };
 
--- a/Libraries/Balancing/retry_allowance.h
+++ b/Libraries/Balancing/retry_allowance.h
@@ -26,8 +26,7 @@
 
   void CountRequest(const Limits& limits, TimePoint now) {
     Refill(limits, now);
-    credit_ =
-        std::min(credit_ + kRatioPart * limits.ratio, MostCredit(limits));
+    credit_ = std::min(credit_ + kRatioPart * limits.ratio, MostCredit(limits));
   }
 
   // `host_count` is the number of hosts that may send repeats.
--- a/Libraries/Balancing/server_table.cc
+++ b/Libraries/Balancing/server_table.cc
@@ -287,7 +287,6 @@
     if (server->needs_check && taken_at > server->needs_check_since)
       server->needs_check = false;
     server->heard_at = std::max(server->heard_at, taken_at);
-    if (server->entry.zone != own_zone_) server->has_news = true;
   }
   if (observation.failure_rate > FailureRate(*server, now)) {
     server->failure_rate = observation.failure_rate;
@@ -323,10 +322,13 @@
   return news;
 }
 
-std::vector<ServerObservation> ServerTable::Describe(const ZoneId& zone,
+std::vector<ServerObservation> ServerTable::Describe(const ServiceId& service,
+                                                     const ZoneId& zone,
                                                      TimePoint now) const {
   std::vector<ServerObservation> known;
-  for (const auto& [key, server] : servers_) {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return known;
+  for (const ServerState* server : found->second.servers) {
     if (server->entry.zone != zone) continue;
     if (!server->load && !server->needs_check) continue;
     known.push_back(Observe(*server, now));
@@ -334,6 +336,13 @@
   return known;
 }
 
+std::vector<ServiceId> ServerTable::Services() const {
+  std::vector<ServiceId> names;
+  names.reserve(services_.size());
+  for (const auto& [name, service] : services_) names.push_back(name);
+  return names;
+}
+
 std::vector<const ServerState*> ServerTable::All() const {
   std::vector<const ServerState*> all;
   all.reserve(servers_.size());
--- a/Libraries/Balancing/server_table.h
+++ b/Libraries/Balancing/server_table.h
@@ -85,13 +85,17 @@
                 std::optional<Duration> cold_left, TimePoint now);
   // Duration of ended work relative to what was expected of the server.
   void OnWorkRatio(ServerKey server, double ratio, bool was_above_knee);
-  // What another host told.
+  // What another host told. It is not passed on: every dispatcher tells its
+  // own news to whom they concern.
   void Merge(const ServerObservation& observation, TimePoint now);
 
-  // News since the last call, or everything known of one zone's servers.
+  // News since the last call.
   std::vector<ServerObservation> TakeNews(TimePoint now);
-  std::vector<ServerObservation> Describe(const ZoneId& zone,
+  // Everything known of a service's servers in one zone.
+  std::vector<ServerObservation> Describe(const ServiceId& service,
+                                          const ZoneId& zone,
                                           TimePoint now) const;
+  std::vector<ServiceId> Services() const;
 
   const ServerState* Find(ServerKey server) const;
   std::vector<const ServerState*> All() const;
--- a/Services/Gateway/directory_sync.cc
+++ b/Services/Gateway/directory_sync.cc
@@ -20,12 +20,17 @@
 namespace {
 
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+// Task name under which a zone's hosts agree on who reads the store.
+constexpr std::string_view kReaderTask = "store-reader";
 constexpr std::string_view kChangesPath = "/v1/table";
 // A whole table passes between hosts of one availability zone in this time.
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(400);
 // A whole table comes from the store in this time, or the call counts as lost.
 constexpr Duration kReadTimeout = std::chrono::milliseconds(1500);
 
+// Decodings of removed rows are kept up to about this number.
+constexpr std::size_t kSparedDecodings = 256;
+
 asio::awaitable<void> Sleep(Duration duration) {
   asio::steady_timer timer(co_await asio::this_coro::executor, duration);
   co_await timer.async_wait(kUseTuple);
@@ -92,12 +97,12 @@
   Followed& followed = at(table);
   for (;;) {
     const TimePoint now = MonotonicNow();
-    const std::size_t rank =
-        context_.peers.RankFor(NameHash(followed.name), now);
+    const std::size_t rank = context_.peers.RankFor(NameHash(kReaderTask), now);
     const Duration stale_after =
         kStaleAfter +
         kStaleStep * static_cast<int>(std::min(rank, kMostStaleSteps));
     const Duration age = now - followed.copy.confirmed_at();
+    is_reader_ = rank == 0;
     if (!followed.copy.has_content()) {
       co_await ReadOnce(table, Duration::zero());
     } else if (rank == 0 && context_.phase != ServingPhase::kLeaving) {
@@ -321,19 +326,14 @@
   const TimePoint now = MonotonicNow();
   std::vector<ServerEntry> entries;
   for (const StoreRow& row : at(FollowedTable::kServers).copy.All().rows) {
-    auto entry = platform::DecodeServer(row.key, *row.value);
-    if (!entry) {
-      StoreVersion& refused = refused_rows_[row.key];
-      if (refused == row.version) continue;
-      refused = row.version;
-      const std::string error = entry.error().ToString();
-      context_.log->Record(EventId::kRegistrationRefused,
-                           {{"server", row.key}, {"error", error}});
-      continue;
-    }
+    const std::optional<ServerEntry>& entry = Decode(row);
+    if (!entry) continue;
     // A delayed report of an earlier moment changes nothing.
-    if (is_older(entry.value())) entry = known_servers_[entry.value().id].entry;
-    entries.push_back(std::move(entry).value());
+    entries.push_back(is_older(*entry) ? known_servers_[entry->id].entry
+                                       : *entry);
+  }
+  if (decoded_servers_.size() > 2 * entries.size() + kSparedDecodings) {
+    decoded_servers_.clear();
   }
   KeepLapsedServers(entries, now);
   for (const ServerEntry& entry : entries) {
@@ -359,6 +359,22 @@
       static_cast<std::int64_t>(entries.size()));
 }
 
+const std::optional<ServerEntry>& DirectorySync::Decode(const StoreRow& row) {
+  DecodedServer& decoded = decoded_servers_[row.key];
+  if (decoded.version == row.version) return decoded.entry;
+  decoded.version = row.version;
+  auto entry = platform::DecodeServer(row.key, *row.value);
+  if (entry) {
+    decoded.entry = std::move(entry).value();
+    return decoded.entry;
+  }
+  decoded.entry.reset();
+  const std::string error = entry.error().ToString();
+  context_.log->Record(EventId::kRegistrationRefused,
+                       {{"server", row.key}, {"error", error}});
+  return decoded.entry;
+}
+
 void DirectorySync::KeepLapsedServers(std::vector<ServerEntry>& entries,
                                       TimePoint now) {
   std::set<ServerId> present;
--- a/Services/Gateway/directory_sync.h
+++ b/Services/Gateway/directory_sync.h
@@ -28,7 +28,7 @@
   static constexpr Duration kCallMargin = std::chrono::milliseconds(350);
   // Others read themselves when a copy was not confirmed for this long: a
   // change has to be in force within 2 s.
-  static constexpr Duration kStaleAfter = std::chrono::milliseconds(1050);
+  static constexpr Duration kStaleAfter = std::chrono::milliseconds(1400);
   // Added for each position in the zone's order, so that not all read at once.
   static constexpr Duration kStaleStep = std::chrono::milliseconds(70);
   static constexpr std::size_t kMostStaleSteps = 4;
@@ -42,6 +42,8 @@
 
   void Start();
   platform::StoreClient& store() { return store_; }
+  // Whether this host waits for changes at the store for its zone.
+  bool is_reader() const { return is_reader_; }
 
   // Versions and ages for the digest.
   std::vector<TableFreshness> Freshness(TimePoint now) const;
@@ -73,6 +75,7 @@
   void ApplyServers();
   void KeepLapsedServers(std::vector<ServerEntry>& entries, TimePoint now);
   bool is_older(const ServerEntry& entry) const;
+  const std::optional<ServerEntry>& Decode(const platform::StoreRow& row);
 
   Followed& at(FollowedTable table) {
     return tables_[static_cast<std::size_t>(table)];
@@ -87,7 +90,13 @@
     TimePoint missing_since{};
   };
   std::unordered_map<ServerId, KnownServer> known_servers_;
-  std::unordered_map<std::string, platform::StoreVersion> refused_rows_;
+  // Decoded registrations by key, nullopt for those that cannot be read.
+  struct DecodedServer {
+    platform::StoreVersion version;
+    std::optional<ServerEntry> entry;
+  };
+  std::unordered_map<std::string, DecodedServer> decoded_servers_;
+  bool is_reader_ = false;
 };
 
 }  // namespace dogwood
--- a/Services/Gateway/fleet_link.cc
+++ b/Services/Gateway/fleet_link.cc
@@ -6,8 +6,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "Libraries/Routing/rendezvous.h"
-
 namespace dogwood {
 
 namespace asio = boost::asio;
@@ -18,10 +16,8 @@
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view kHostTable = "dogwood-hosts";
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
-// Hosts of one start register within this time.
+// After a call that the store refused or that was lost.
 constexpr Duration kRegistrationPause = std::chrono::milliseconds(700);
-// Task name under which a zone's hosts agree on who talks to other zones.
-constexpr std::string_view kReporterTask = "zone-reporter";
 
 bool HasSameVersions(const std::vector<TableFreshness>& left,
                      const std::vector<TableFreshness>& right) {
@@ -78,8 +74,12 @@
 
 FleetDigest FleetLink::BaseDigest(TimePoint now) const {
   FleetDigest digest;
-  digest.sender = {context_.settings.ip, context_.settings.zone, incarnation_,
-                   Duration::zero(), context_.phase == ServingPhase::kLeaving};
+  digest.sender = {context_.settings.ip,
+                   context_.settings.zone,
+                   incarnation_,
+                   Duration::zero(),
+                   context_.phase == ServingPhase::kLeaving,
+                   context_.capacity()};
   digest.tables = sync_.Freshness(now);
   return digest;
 }
@@ -91,8 +91,13 @@
     co_await timer.async_wait(kUseTuple);
     const TimePoint now = MonotonicNow();
     FleetDigest digest = BaseDigest(now);
-    digest.observations = context_.servers.TakeNews(now);
-    if (digest.observations.empty() && now - sent_at_ < kQuietInterval &&
+    if (now - news_sent_at_ >= kNewsInterval) {
+      digest.observations = context_.servers.TakeNews(now);
+      news_sent_at_ = now;
+    }
+    const Duration interval =
+        sync_.is_reader() ? kReaderInterval : kQuietInterval;
+    if (digest.observations.empty() && now - sent_at_ < interval &&
         HasSameVersions(digest.tables, tables_sent_)) {
       continue;
     }
@@ -119,20 +124,24 @@
     timer.expires_after(kOtherZonesInterval);
     co_await timer.async_wait(kUseTuple);
     const TimePoint now = MonotonicNow();
-    if (context_.peers.RankFor(NameHash(kReporterTask), now) != 0) continue;
-    FleetDigest digest = BaseDigest(now);
-    digest.observations =
-        context_.servers.Describe(context_.settings.zone, now);
-    if (digest.observations.size() > kMostObservations)
-      digest.observations.resize(kMostObservations);
-    if (now - peers_told_at >= std::chrono::seconds(1)) {
-      digest.peers = context_.peers.Describe(now);
-      peers_told_at = now;
+    const ZoneId& zone = context_.settings.zone;
+    bool should_list_peers = now - peers_told_at >= std::chrono::seconds(1);
+    for (const ServiceId& service : context_.servers.Services()) {
+      if (!context_.peers.is_responsible(service, zone, now)) continue;
+      FleetDigest digest = BaseDigest(now);
+      digest.observations = context_.servers.Describe(service, zone, now);
+      if (digest.observations.size() > kMostObservations)
+        digest.observations.resize(kMostObservations);
+      if (should_list_peers) {
+        digest.peers = context_.peers.DescribeZone(zone, now);
+        peers_told_at = now;
+        should_list_peers = false;
+      }
+      const auto bytes = EncodeMessage(digest);
+      for (const std::string& ip :
+           context_.peers.OtherDispatchersFor(service, now))
+        SendTo(ip, bytes);
     }
-    const auto bytes = EncodeMessage(digest);
-    for (const std::string& ip :
-         context_.peers.OneInEachOtherZone(context_.random(), now))
-      SendTo(ip, bytes);
   }
 }
 
@@ -171,25 +180,33 @@
 }
 
 asio::awaitable<void> FleetLink::Register() {
-  // Registrations are read again until the hosts that start together are in.
-  constexpr int kReads = 2;
   for (const std::string& ip : context_.settings.contact_ips) AddContact(ip);
-  asio::steady_timer timer(context_.io);
+  platform::StoreClient& store = sync_.store();
+  const std::string& name = context_.settings.host.value();
+  // A host that reads after its own row is written sees all hosts that did so
+  // before, and is seen by all that do so later.
   bool is_registered = false;
-  for (int reads = 0; reads < kReads;) {
-    if (!is_registered) {
-      const auto written = co_await sync_.store().WriteRow(
-          kHostTable, context_.settings.host.value(), context_.settings.ip,
-          kStoreTimeout);
+  bool should_write = context_.settings.is_first_start;
+  asio::steady_timer timer(context_.io);
+  for (;;) {
+    if (should_write) {
+      const auto written = co_await store.WriteRow(
+          kHostTable, name, context_.settings.ip, kStoreTimeout);
       is_registered = written.has_value();
     }
-    const auto rows =
-        co_await sync_.store().ReadTable(kHostTable, kStoreTimeout);
+    const auto rows = co_await store.ReadTable(kHostTable, kStoreTimeout);
     if (rows) {
       for (const platform::StoreRow& row : rows.value().rows) {
-        if (row.value) AddContact(*row.value);
+        if (!row.value) continue;
+        AddContact(*row.value);
+        is_registered = is_registered ||
+                        (row.key == name && *row.value == context_.settings.ip);
+      }
+      if (is_registered) co_return;
+      if (!should_write) {
+        should_write = true;
+        continue;
       }
-      if (is_registered) ++reads;
     }
     timer.expires_after(kRegistrationPause);
     co_await timer.async_wait(kUseTuple);
--- a/Services/Gateway/fleet_link.h
+++ b/Services/Gateway/fleet_link.h
@@ -14,13 +14,20 @@
 namespace dogwood {
 
 // Exchanges messages with other entry hosts by datagrams. Digests go to all
-// hosts of the own availability zone often, and through one host of each zone
-// to the other zones seldom, as bytes between zones are paid for.
+// hosts of the own availability zone; dispatchers tell those of the same
+// service in other zones what they know of their backend servers.
 class FleetLink {
  public:
+  // Changes of the tables' versions are told at once, with this delay at most.
   static constexpr Duration kZoneInterval = std::chrono::milliseconds(100);
-  // A digest without news only shows that the host lives.
-  static constexpr Duration kQuietInterval = std::chrono::milliseconds(250);
+  // A host without news tells that it lives.
+  static constexpr Duration kQuietInterval = std::chrono::milliseconds(300);
+  // A host that reads the store tells how recent its copy is.
+  static constexpr Duration kReaderInterval = std::chrono::milliseconds(200);
+  // News of backend servers, which other hosts need only when they must decide
+  // without their dispatcher.
+  static constexpr Duration kNewsInterval = std::chrono::milliseconds(300);
+  // Between the dispatchers of a service in different zones.
   static constexpr Duration kOtherZonesInterval =
       std::chrono::milliseconds(200);
   // Lists of known hosts travel with every digest sent in this interval.
@@ -62,6 +69,7 @@
   TimePoint peers_sent_at_{};
   TimePoint sent_at_{};
   std::vector<TableFreshness> tables_sent_;
+  TimePoint news_sent_at_{};
 };
 
 }  // namespace dogwood
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -92,7 +92,6 @@
   TRY(link_.Start());
   sync_.Start();
   prober_.Start();
-  placements_.Start();
   asio::co_spawn(io_, Accept(), asio::detached);
   asio::co_spawn(io_, Sweep(), asio::detached);
   asio::co_spawn(io_, AwaitStop(), asio::detached);
--- a/Services/Gateway/gateway_context.h
+++ b/Services/Gateway/gateway_context.h
@@ -27,10 +27,14 @@
         settings(std::move(given_settings)),
         log(std::move(given_log)),
         servers(settings.zone),
-        peers(settings.ip, settings.zone, MonotonicNow()),
+        peers(settings.ip, settings.zone, capacity(), MonotonicNow()),
         random(std::random_device{}()),
         metrics(registry) {}
 
+  // Processor time of this host in hundredths of a core.
+  unsigned capacity() const {
+    return static_cast<unsigned>(settings.processor_share * 100);
+  }
   // Repeats allowed by the settings.
   RetryAllowance::Limits retry_limits() const {
     return {settings.bounds.retry_ratio, settings.bounds.retry_window,
--- a/Services/Gateway/health_prober.cc
+++ b/Services/Gateway/health_prober.cc
@@ -45,33 +45,42 @@
 asio::awaitable<void> HealthProber::Scan() {
   asio::steady_timer timer(context_.io);
   for (;;) {
-    timer.expires_after(kScanInterval);
+    timer.expires_after(has_duty_ ? kScanInterval : kIdleScanInterval);
     co_await timer.async_wait(kUseTuple);
     if (!context_.routes) continue;
     const TimePoint now = MonotonicNow();
-    // The answer is the same for all servers of a service in a zone.
-    std::map<std::pair<ServiceId, ZoneId>, bool> is_responsible;
-    for (const ServerState* server : context_.servers.All()) {
-      if (!is_due(*server, now)) continue;
-      const ServiceId& service = server->entry.service;
-      const ZoneId& zone = server->entry.zone;
-      const auto [known, is_new] =
-          is_responsible.try_emplace({service, zone}, false);
-      if (is_new) {
-        known->second = context_.peers.is_responsible(service, zone, now);
-      }
-      if (!known->second) continue;
-      asking_.insert(server->key);
-      asked_at_[server->key] = now;
-      asio::co_spawn(context_.io, Ask(server->key), asio::detached);
+    if (now - duties_at_ >= kIdleScanInterval) FindDuties(now);
+    for (const ServerKey key : duties_) {
+      const ServerState* server = context_.servers.Find(key);
+      if (server == nullptr || !is_due(*server, now)) continue;
+      asking_.insert(key);
+      asked_at_[key] = now;
+      asio::co_spawn(context_.io, Ask(key), asio::detached);
     }
-    std::erase_if(clients_, [&](const auto& item) {
-      return context_.servers.Find(item.first) == nullptr &&
-             !asking_.contains(item.first);
-    });
   }
 }
 
+void HealthProber::FindDuties(TimePoint now) {
+  duties_at_ = now;
+  duties_.clear();
+  // The answer is the same for all servers of a service in a zone.
+  std::map<std::pair<ServiceId, ZoneId>, bool> is_responsible;
+  for (const ServerState* server : context_.servers.All()) {
+    const ServiceId& service = server->entry.service;
+    const ZoneId& zone = server->entry.zone;
+    const auto [known, is_new] =
+        is_responsible.try_emplace({service, zone}, false);
+    if (is_new)
+      known->second = context_.peers.is_responsible(service, zone, now);
+    if (known->second) duties_.push_back(server->key);
+  }
+  has_duty_ = !duties_.empty();
+  std::erase_if(clients_, [&](const auto& item) {
+    return context_.servers.Find(item.first) == nullptr &&
+           !asking_.contains(item.first);
+  });
+}
+
 asio::awaitable<void> HealthProber::Ask(ServerKey key) {
   const ServerState* server = context_.servers.Find(key);
   const ServiceEntry* service =
--- a/Services/Gateway/placement_service.cc
+++ b/Services/Gateway/placement_service.cc
@@ -24,17 +24,24 @@
   for (const auto& [number, ticket] : tickets_) ticket->service_ = nullptr;
 }
 
-void PlacementService::Start() {
-  asio::co_spawn(context_.io, ReviewPeriodically(), asio::detached);
+std::optional<DispatchDecision> PlacementService::Add(DispatchRequest request,
+                                                      TimePoint now) {
+  auto decision = dispatcher_.Add(std::move(request), now);
+  if (!decision && !is_reviewing_) {
+    is_reviewing_ = true;
+    asio::co_spawn(context_.io, ReviewWhileWaiting(), asio::detached);
+  }
+  return decision;
 }
 
-asio::awaitable<void> PlacementService::ReviewPeriodically() {
+asio::awaitable<void> PlacementService::ReviewWhileWaiting() {
   asio::steady_timer timer(context_.io);
-  for (;;) {
+  while (dispatcher_.waiting_count() > 0) {
     timer.expires_after(kReviewInterval);
     co_await timer.async_wait(kUseTuple);
     Review();
   }
+  is_reviewing_ = false;
 }
 
 void PlacementService::Review() {
@@ -57,7 +64,8 @@
 
 std::string PlacementService::ChooseDispatcher(const ServiceId& service,
                                                TimePoint now) {
-  std::string chosen = context_.peers.DispatcherFor(service, now);
+  std::string chosen =
+      context_.peers.DispatcherFor(service, context_.settings.zone, now);
   const auto distrusted = distrusted_until_.find(chosen);
   if (distrusted != distrusted_until_.end() && now < distrusted->second)
     return context_.settings.ip;
@@ -78,7 +86,7 @@
   request.arrived_at = now;
   request.body_bytes = ask.body_bytes;
   request.excluded = ask.excluded;
-  if (auto decision = dispatcher_.Add(std::move(request), now)) {
+  if (auto decision = Add(std::move(request), now)) {
     Deliver(std::move(*decision));
     return;
   }
@@ -147,7 +155,7 @@
   if (decision_ && (!is_granted || has_ended_)) return;
   if (dispatcher_ == service_->context_.settings.ip) {
     service_->dispatcher_.Withdraw(request_.host, request_.number,
-                                  MonotonicNow());
+                                   MonotonicNow());
   } else {
     service_->send_(dispatcher_, PlacementWithdrawal{request_.number});
   }
@@ -169,7 +177,7 @@
     dispatcher_ = service_->context_.settings.ip;
   }
   decided_.expires_at(TimePoint::max());
-  if (auto decision = service_->dispatcher_.Add(request_, MonotonicNow())) {
+  if (auto decision = service_->Add(request_, MonotonicNow())) {
     decision_ = std::move(decision);
     co_return;
   }
--- a/Services/Gateway/placement_service.h
+++ b/Services/Gateway/placement_service.h
@@ -67,8 +67,6 @@
   PlacementService(const PlacementService&) = delete;
   PlacementService& operator=(const PlacementService&) = delete;
 
-  void Start();
-
   // Number for a new request.
   std::uint64_t NextNumber() { return ++last_number_; }
 
@@ -79,8 +77,10 @@
   void OnWithdrawal(const std::string& ip, const PlacementWithdrawal& message);
 
  private:
-  boost::asio::awaitable<void> ReviewPeriodically();
+  boost::asio::awaitable<void> ReviewWhileWaiting();
   void Review();
+  // Adds a request to the own dispatcher.
+  std::optional<DispatchDecision> Add(DispatchRequest request, TimePoint now);
   void Deliver(DispatchDecision decision);
   void TakeEnd(const std::string& host, const PlacementEnd& end, TimePoint now);
   std::string ChooseDispatcher(const ServiceId& service, TimePoint now);
@@ -88,6 +88,7 @@
   GatewayContext& context_;
   Sender send_;
   Dispatcher dispatcher_;
+  bool is_reviewing_ = false;  // ReviewWhileWaiting runs
   std::uint64_t last_number_ = 0;
   std::unordered_map<std::uint64_t, Ticket*> tickets_;
   std::unordered_map<std::string, TimePoint> distrusted_until_;
--- a/Services/Gateway/server_connection_pool.h
+++ b/Services/Gateway/server_connection_pool.h
@@ -13,7 +13,7 @@
 class ServerConnectionPool {
  public:
   // Idle connections kept to one backend server.
-  static constexpr std::size_t kMostIdle = 4;
+  static constexpr std::size_t kMostIdle = 2;
   // Backend servers close idle connections; this host is first, with a margin
   // for a request that is on its way.
   static constexpr Duration kIdleMargin = std::chrono::milliseconds(600);
--- a/Tests/Libraries/Balancing/dispatch_model.cc
+++ b/Tests/Libraries/Balancing/dispatch_model.cc
@@ -18,7 +18,7 @@
       start_(kStart),
       now_(kStart),
       table_(kPalermo),
-      peers_(kHost, kPalermo, kStart - std::chrono::hours(1)),
+      peers_(kHost, kPalermo, 20, kStart - std::chrono::hours(1)),
       dispatcher_(table_, peers_, random_) {
   for (int i = 0; i < options_.servers; ++i) {
     Server server;
--- a/Tests/Libraries/Balancing/dispatcher_test.cc
+++ b/Tests/Libraries/Balancing/dispatcher_test.cc
@@ -11,7 +11,7 @@
 
 struct Fixture {
   ServerTable table{kPalermo};
-  PeerTable peers{"10.0.0.1", kPalermo, kStart - 1h};
+  PeerTable peers{"10.0.0.1", kPalermo, 20, kStart - 1h};
   ServerTable::Random random{3};
   Dispatcher dispatcher{table, peers, random};
 
--- a/Tests/Libraries/Balancing/peer_message_test.cc
+++ b/Tests/Libraries/Balancing/peer_message_test.cc
@@ -21,7 +21,7 @@
 
 TEST_CASE("A digest survives the wire") {
   FleetDigest digest;
-  digest.sender = {"10.0.0.1", kPalermo, Incarnation(17), 0ms, true};
+  digest.sender = {"10.0.0.1", kPalermo, Incarnation(17), 0ms, true, 50};
   digest.tables = {{12, 30ms}, {0, 4s}};
   digest.observations = {
       {ServerKey(4000000000U), 7, 1.5, 80ms, 2s, 0.25, true}};
@@ -30,6 +30,7 @@
   CHECK(decoded.sender.ip == "10.0.0.1");
   CHECK(decoded.sender.incarnation == Incarnation(17));
   CHECK(decoded.sender.is_leaving);
+  CHECK(decoded.sender.capacity == 50);
   CHECK(decoded.tables.size() == 2);
   CHECK(decoded.tables[1].age == 4s);
   CHECK(decoded.observations[0].server == ServerKey(4000000000U));
--- a/Tests/Libraries/Balancing/peer_table_test.cc
+++ b/Tests/Libraries/Balancing/peer_table_test.cc
@@ -9,7 +9,7 @@
 
 PeerRecord MakePeer(const std::string& ip, const ZoneId& zone = kPalermo,
                     std::uint64_t incarnation = 1, Duration age = 0ms) {
-  return {ip, zone, Incarnation(incarnation), age, false};
+  return {ip, zone, Incarnation(incarnation), age, false, 20};
 }
 
 // Guards against two dispatchers in one zone while all hosts know each other.
@@ -18,9 +18,10 @@
   for (const std::string service : {"a", "b", "c", "d"}) {
     std::vector<std::string> chosen;
     for (const std::string& own : ips) {
-      PeerTable table(own, kPalermo, kStart);
+      PeerTable table(own, kPalermo, 20, kStart);
       for (const std::string& ip : ips) table.Merge(MakePeer(ip), kStart);
-      chosen.push_back(table.DispatcherFor(ServiceId(service), kStart));
+      chosen.push_back(
+          table.DispatcherFor(ServiceId(service), kPalermo, kStart));
     }
     CHECK(chosen[0] == chosen[1]);
     CHECK(chosen[0] == chosen[2]);
@@ -28,30 +29,30 @@
 }
 
 TEST_CASE("A silent or leaving host dispatches nothing") {
-  PeerTable table("10.0.0.1", kPalermo, kStart);
+  PeerTable table("10.0.0.1", kPalermo, 20, kStart);
   for (int i = 2; i < 30; ++i)
     table.Merge(MakePeer("10.0.0." + std::to_string(i)), kStart);
-  const std::string first = table.DispatcherFor(kTracking, kStart);
+  const std::string first = table.DispatcherFor(kTracking, kPalermo, kStart);
   REQUIRE(first != "10.0.0.1");
   SUBCASE("silent") {
     const TimePoint later = kStart + PeerTable::kSilenceInZone + 1ms;
-    CHECK(table.DispatcherFor(kTracking, later) == "10.0.0.1");
+    CHECK(table.DispatcherFor(kTracking, kPalermo, later) == "10.0.0.1");
   }
   SUBCASE("leaving") {
     PeerRecord leaving = MakePeer(first);
     leaving.is_leaving = true;
     table.Merge(leaving, kStart);
-    CHECK(table.DispatcherFor(kTracking, kStart) != first);
+    CHECK(table.DispatcherFor(kTracking, kPalermo, kStart) != first);
     SUBCASE("and started again") {
       table.Merge(MakePeer(first, kPalermo, 2), kStart + 100ms);
-      CHECK(table.DispatcherFor(kTracking, kStart + 100ms) == first);
+      CHECK(table.DispatcherFor(kTracking, kPalermo, kStart + 100ms) == first);
     }
   }
 }
 
 // Guards against news of a former start that arrive after the new one.
 TEST_CASE("What is told of an older start of a host is ignored") {
-  PeerTable table("10.0.0.1", kPalermo, kStart);
+  PeerTable table("10.0.0.1", kPalermo, 20, kStart);
   table.Merge(MakePeer("10.0.0.2", kPalermo, 5), kStart);
   PeerRecord old = MakePeer("10.0.0.2", kPalermo, 4);
   old.is_leaving = true;
@@ -63,7 +64,7 @@
   const std::vector<std::string> ips = {"10.0.0.1", "10.0.0.2", "10.0.0.3"};
   int responsible = 0;
   for (const std::string& own : ips) {
-    PeerTable table(own, kPalermo, kStart);
+    PeerTable table(own, kPalermo, 20, kStart);
     for (const std::string& ip : ips) table.Merge(MakePeer(ip), kStart);
     if (table.is_responsible(kTracking, kCatania, kStart)) ++responsible;
   }
@@ -73,7 +74,7 @@
 // Guards against a cold server that gets its rate from every host of a fleet
 // that has just started and does not know itself yet.
 TEST_CASE("A host that has just started uses nothing alone") {
-  PeerTable table("10.0.0.1", kPalermo, kStart);
+  PeerTable table("10.0.0.1", kPalermo, 20, kStart);
   ServerState server;
   server.entry = MakeServer("a");
   CHECK(table.is_responsible(kTracking, kPalermo, kStart));
@@ -83,7 +84,7 @@
 
 // Guards against hosts that never find each other again after a partition.
 TEST_CASE("Silent hosts are still known as contacts") {
-  PeerTable table("10.0.0.1", kPalermo, kStart);
+  PeerTable table("10.0.0.1", kPalermo, 20, kStart);
   table.Merge(MakePeer("10.0.0.2"), kStart);
   table.Merge(MakePeer("10.1.0.2", kCatania), kStart);
   const TimePoint later = kStart + 10s;
