Gateway: Hedge slow repeatable requests, return refused callers later

Cause: lookups whose answer was lost, or whose server's machine turned slow, waited for the route's timeout; refused callers came back into the same overload after about one latency goal; a request shed by two servers that had room waited 90 ms before it came back. Change: a repeatable request that has taken 1.2 times its usual work is sent to a second server when 1.25 times the usual work is left before its goal, within the shared retry budget and only while 0.4 of the fast slots are free; the first answer wins. Callers refused for lack of room return within a third of the time they have left, spread; those shed by servers with room at once. Ruled out: blaming requests for crashed servers by their path, as many callers share a path.

--- a/Libraries/Balancing/admission.cc
+++ b/Libraries/Balancing/admission.cc
@@ -17,6 +17,15 @@
   const Duration reserve = Scaled(query.usual_work, kWorkReserve);
   const Duration slack = query.goal_left - reserve;
   const bool can_be_in_time = slack > Duration::zero();
+  if (input.is_hedge) {
+    const bool is_worth_it =
+        input.placement &&
+        Scaled(query.usual_work, input.placement->slowdown) <=
+            query.goal_left &&
+        input.occupancy.free_fast_slots >=
+            kFreePartForHedges * input.occupancy.fast_slots;
+    return is_worth_it ? AdmissionVerdict::kSend : AdmissionVerdict::kRefuse;
+  }
   if (input.placement) {
     const Duration work = Scaled(query.usual_work, input.placement->slowdown);
     if (work > query.time_left) {
@@ -49,16 +58,11 @@
              : AdmissionVerdict::kWait;
 }
 
-Duration Admission::RetryAfter(const Input& input, double draw) {
-  constexpr double kLeastGoals = 0.4;
-  constexpr double kMostGoals = 1.5;
-  const double fullness =
-      input.occupancy.slots > 0
-          ? std::clamp(input.occupancy.in_work / input.occupancy.slots, 0.0,
-                       1.5)
-          : 1.0;
-  const double goals = std::clamp(fullness * 0.7, kLeastGoals, kMostGoals);
-  return Scaled(input.query.goal, goals * (1 + draw));
+Duration Admission::RetryAfter(Duration callers_time_left, double draw) {
+  constexpr double kLongestPart = 0.33;  // of the time left
+  constexpr double kSpread = 0.4;
+  return Scaled(std::max(callers_time_left, kRetrySoon),
+                kLongestPart * (1 - kSpread * draw));
 }
 
 }  // namespace dogwood
--- a/Libraries/Balancing/admission.h
+++ b/Libraries/Balancing/admission.h
@@ -27,16 +27,25 @@
     Duration waited{};
     ServerTable::Occupancy occupancy;
     std::size_t waiting_before = 0;  // requests of the service ahead of it
+    bool is_hedge = false;  // a second try beside one that is still running
     // Dispatchers of other availability zones that use the servers as well,
     // this one included.
     std::size_t dispatcher_count = 1;
   };
 
+  // Hedges are sent only while this part of the fast slots is free, so that
+  // they never take room from first tries.
+  static constexpr double kFreePartForHedges = 0.4;
+
   static AdmissionVerdict Decide(const Input& input);
 
-  // When a refused caller may come back: later the fuller the service is, and
-  // spread over the same span again. `draw` is uniform in 0 to 1.
-  static Duration RetryAfter(const Input& input, double draw);
+  // When a caller that was refused for lack of room may come back. Its request
+  // is late then, so it comes as late as callers wait (a third of the time they
+  // have left), when an overload is most likely over; spread, so that refused
+  // callers do not return together. `draw` is uniform in 0 to 1.
+  static Duration RetryAfter(Duration callers_time_left, double draw);
+  // The same when backend servers refused although they had room.
+  static constexpr Duration kRetrySoon = std::chrono::milliseconds(10);
 };
 
 }  // namespace dogwood
--- a/Libraries/Balancing/dispatcher.cc
+++ b/Libraries/Balancing/dispatcher.cc
@@ -91,6 +91,7 @@
     pass.occupancy = servers_.OccupancyOf(request.service, now);
   input.occupancy = *pass.occupancy;
   input.waiting_before = pass.waiting_before;
+  input.is_hedge = request.is_hedge;
   input.dispatcher_count = peers_.LiveZoneCount(now);
   DispatchDecision decision{request.host, request.number,
                             Admission::Decide(input), input.placement};
@@ -101,9 +102,6 @@
     servers_.OnSent(input.placement->server, now);
     grants_.push_back({request.host, request.number, input.placement->server,
                        request.deadline + kGrantMargin});
-  } else {
-    std::uniform_real_distribution<double> draw(0, 1);
-    decision.retry_after = Admission::RetryAfter(input, draw(random_));
   }
   return decision;
 }
--- a/Libraries/Balancing/dispatcher.h
+++ b/Libraries/Balancing/dispatcher.h
@@ -25,6 +25,7 @@
   TimePoint arrived_at{};  // at the dispatcher
   std::size_t body_bytes = 0;
   std::vector<ServerKey> excluded;  // servers already tried
+  bool is_hedge = false;  // a second try beside one that is still running
 };
 
 struct DispatchDecision {
@@ -32,7 +33,6 @@
   std::uint64_t number = 0;
   AdmissionVerdict verdict = AdmissionVerdict::kRefuse;
   std::optional<Placement> placement;
-  Duration retry_after{};  // with kRefuse
   ServerTable::Occupancy occupancy;
 };
 
--- a/Libraries/Balancing/peer_message.cc
+++ b/Libraries/Balancing/peer_message.cc
@@ -10,7 +10,7 @@
 
 // Layout: [version, kind, fields...], fields in the order of the type; the kind
 // is the type's index in PeerMessage. CBOR keeps small numbers in a byte.
-constexpr int kFormatVersion = 2;
+constexpr int kFormatVersion = 3;
 
 std::int64_t ToMicroseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration)
@@ -116,12 +116,11 @@
              {ask.number, ask.service.value(), ask.priority,
               ToMicroseconds(ask.usual_work), ToMicroseconds(ask.goal),
               ToMicroseconds(ask.goal_left), ToMicroseconds(ask.time_left),
-              ask.body_bytes, std::move(excluded)});
+              ask.body_bytes, std::move(excluded), ask.is_hedge});
 }
 
 void Append(Json& out, const PlacementAnswer& answer) {
-  out.insert(out.end(), {answer.number, static_cast<int>(answer.verdict),
-                         ToMs(answer.retry_after)});
+  out.insert(out.end(), {answer.number, static_cast<int>(answer.verdict)});
   if (answer.placement) out.push_back(ToJson(*answer.placement));
 }
 
@@ -163,6 +162,7 @@
   ask.body_bytes = root.at(9).get<std::size_t>();
   for (const Json& item : root.at(10))
     ask.excluded.push_back(ServerKey(item.get<std::uint32_t>()));
+  ask.is_hedge = root.at(11).get<bool>();
   return ask;
 }
 
@@ -170,8 +170,7 @@
   PlacementAnswer answer;
   answer.number = root.at(2).get<std::uint64_t>();
   answer.verdict = EnumFrom(root.at(3), AdmissionVerdict::kRefuse);
-  answer.retry_after = FromMs(root.at(4));
-  if (root.size() > 5) answer.placement = PlacementFrom(root.at(5));
+  if (root.size() > 4) answer.placement = PlacementFrom(root.at(4));
   return answer;
 }
 
--- a/Libraries/Balancing/peer_message.h
+++ b/Libraries/Balancing/peer_message.h
@@ -24,6 +24,7 @@
   Duration time_left{};
   std::size_t body_bytes = 0;
   std::vector<ServerKey> excluded;
+  bool is_hedge = false;
 };
 
 // The dispatcher's answer: the decision, or that the request waits.
@@ -31,7 +32,6 @@
   std::uint64_t number = 0;
   AdmissionVerdict verdict = AdmissionVerdict::kWait;
   std::optional<Placement> placement;
-  Duration retry_after{};
 };
 
 // The work of a grant has ended, with what the backend server told.
--- a/Services/Gateway/placement_service.cc
+++ b/Services/Gateway/placement_service.cc
@@ -53,9 +53,8 @@
 
 void PlacementService::Deliver(DispatchDecision decision) {
   if (decision.host != context_.settings.ip) {
-    send_(decision.host,
-          PlacementAnswer{decision.number, decision.verdict, decision.placement,
-                          decision.retry_after});
+    send_(decision.host, PlacementAnswer{decision.number, decision.verdict,
+                                         decision.placement});
     return;
   }
   const auto ticket = tickets_.find(decision.number);
@@ -86,12 +85,13 @@
   request.arrived_at = now;
   request.body_bytes = ask.body_bytes;
   request.excluded = ask.excluded;
+  request.is_hedge = ask.is_hedge;
   if (auto decision = Add(std::move(request), now)) {
     Deliver(std::move(*decision));
     return;
   }
   // Confirms that the request waits here.
-  send_(ip, PlacementAnswer{ask.number, AdmissionVerdict::kWait, {}, {}});
+  send_(ip, PlacementAnswer{ask.number, AdmissionVerdict::kWait, {}});
 }
 
 void PlacementService::OnAnswer(const std::string& ip,
@@ -110,12 +110,8 @@
     ticket->is_confirmed_ = true;
     return;
   }
-  ticket->Decide({context_.settings.ip,
-                  answer.number,
-                  answer.verdict,
-                  answer.placement,
-                  answer.retry_after,
-                  {}});
+  ticket->Decide(
+      {context_.settings.ip, answer.number, answer.verdict, answer.placement});
 }
 
 void PlacementService::OnEnd(const std::string& ip, const PlacementEnd& end) {
@@ -191,7 +187,7 @@
       PlacementAsk{request_.number, request_.service, request_.priority,
                    request_.usual_work, request_.goal, request_.goal_at - now,
                    request_.deadline - now, request_.body_bytes,
-                   request_.excluded});
+                   request_.excluded, request_.is_hedge});
   decided_.expires_at(now + kAnswerTimeout);
   co_await decided_.async_wait(kUseTuple);
   if (decision_ || !is_confirmed_) co_return;
--- a/Services/Gateway/request_relay.cc
+++ b/Services/Gateway/request_relay.cc
@@ -137,7 +137,6 @@
   for (;;) {
     DispatchRequest described = Describe(journey);
     const std::uint64_t number = described.number;
-    const Duration usual_work = described.usual_work;
     PlacementService::Ticket ticket(placements_, std::move(described));
     const auto ended =
         co_await (ticket.Await() || AwaitTime(journey.deadline) ||
@@ -146,29 +145,104 @@
     const auto& decision = ticket.decision();
     if (!decision || decision->verdict != AdmissionVerdict::kSend) {
       co_return Refuse(journey, "no backend server has room",
-                       decision ? decision->retry_after : usual_work,
                        decision ? decision->placement : std::nullopt);
     }
-    const Placement placement = *decision->placement;
     context_.metrics.placement_wait.Record(MonotonicNow() - request.arrived_at);
-    Attempt attempt = co_await Try(journey, placement);
+    const bool may_hedge =
+        journey.route.repeatability == Repeatability::kRepeatable &&
+        journey.attempts + 1 < journey.route.most_servers;
+    Leg leg;
+    if (may_hedge) {
+      leg = co_await RunHedged(journey, ticket, number);
+    } else {
+      leg = co_await RunLeg(journey, ticket, number);
+    }
+    Attempt& attempt = leg.attempt;
     const TimePoint now = MonotonicNow();
-    ticket.End(EndOf(number, placement, attempt, usual_work));
     if (attempt.has_caller_left)
       co_return Abandon(journey, "at a backend server");
-    journey.tried.push_back(placement.server);
     journey.may_have_run = journey.may_have_run ||
                            attempt.outcome == AttemptOutcome::kFailed ||
                            attempt.outcome == AttemptOutcome::kLost;
     if (may_repeat(journey, attempt, now)) continue;
-    Reply reply = FinalReply(journey, attempt, usual_work);
+    Reply reply = FinalReply(journey, attempt);
     if (attempt.connection && attempt.connection->is_reusable())
-      pool_.Return(placement.server, std::move(attempt.connection), now);
-    LogOutcome(journey, reply, placement);
+      pool_.Return(leg.placement.server, std::move(attempt.connection), now);
+    LogOutcome(journey, reply, leg.placement);
     co_return reply;
   }
 }
 
+asio::awaitable<RequestRelay::Leg> RequestRelay::RunLeg(
+    Journey& journey, PlacementService::Ticket& ticket, std::uint64_t number) {
+  Leg leg;
+  leg.placement = *ticket.decision()->placement;
+  const Duration usual_work = UsualWork(journey.route);
+  journey.tried.push_back(leg.placement.server);
+  leg.attempt = co_await Try(journey, leg.placement);
+  ticket.End(EndOf(number, leg.placement, leg.attempt, usual_work));
+  co_return leg;
+}
+
+asio::awaitable<RequestRelay::Leg> RequestRelay::RunHedged(
+    Journey& journey, PlacementService::Ticket& ticket, std::uint64_t number) {
+  Race race;
+  const ServerKey first = ticket.decision()->placement->server;
+  auto ended = co_await (RunFirst(journey, ticket, number, race) ||
+                         RunHedge(journey, first, race));
+  if (ended.index() == 0) co_return std::move(std::get<0>(ended));
+  co_return std::move(std::get<1>(ended));
+}
+
+asio::awaitable<RequestRelay::Leg> RequestRelay::RunFirst(
+    Journey& journey, PlacementService::Ticket& ticket, std::uint64_t number,
+    Race& race) {
+  Leg leg = co_await RunLeg(journey, ticket, number);
+  race.has_first_ended = true;
+  const bool is_answer = leg.attempt.outcome == AttemptOutcome::kServed ||
+                         leg.attempt.has_caller_left;
+  if (is_answer || !race.is_hedge_running) co_return leg;
+  journey.may_have_run = true;
+  co_await AwaitTime(TimePoint::max());
+  co_return leg;
+}
+
+asio::awaitable<RequestRelay::Leg> RequestRelay::RunHedge(Journey& journey,
+                                                          ServerKey first,
+                                                          Race& race) {
+  DispatchRequest described = Describe(journey);
+  const Duration usual_work = described.usual_work;
+  const auto part = [usual_work](double factor) {
+    return std::chrono::duration_cast<Duration>(usual_work * factor);
+  };
+  const TimePoint hedge_at = described.goal_at - part(kHedgeReserve);
+  const bool is_useful = hedge_at >= MonotonicNow() + part(kHedgePatience) &&
+                         hedge_at < journey.deadline;
+  if (!is_useful) co_await AwaitTime(TimePoint::max());
+  co_await AwaitTime(hedge_at);
+  if (race.has_first_ended) co_await AwaitTime(TimePoint::max());
+  described.number = placements_.NextNumber();
+  described.arrived_at = MonotonicNow();
+  described.is_hedge = true;
+  described.excluded.push_back(first);
+  const std::uint64_t number = described.number;
+  PlacementService::Ticket ticket(placements_, std::move(described));
+  co_await ticket.Await();
+  const auto& decision = ticket.decision();
+  const bool is_granted =
+      decision && decision->verdict == AdmissionVerdict::kSend &&
+      try_take_repeat(journey, "the first try is slow", MonotonicNow());
+  if (!is_granted) co_await AwaitTime(TimePoint::max());
+  race.is_hedge_running = true;
+  Leg leg = co_await RunLeg(journey, ticket, number);
+  race.is_hedge_running = false;
+  const bool is_answer = leg.attempt.outcome == AttemptOutcome::kServed ||
+                         leg.attempt.has_caller_left;
+  if (is_answer || race.has_first_ended) co_return leg;
+  co_await AwaitTime(TimePoint::max());
+  co_return leg;
+}
+
 Reply RequestRelay::Abandon(const Journey& journey, std::string_view phase) {
   const RequestId& id = journey.request.caller.id;
   context_.metrics.caller_left.Add();
@@ -331,6 +405,11 @@
       journey.attempts >= journey.route.most_servers) {
     return false;
   }
+  return try_take_repeat(journey, reason, now);
+}
+
+bool RequestRelay::try_take_repeat(const Journey& journey,
+                                   std::string_view reason, TimePoint now) {
   RetryAllowance& allowance = context_.retry_allowances[journey.service];
   if (!allowance.try_take(context_.retry_limits(),
                           context_.peers.LiveCount(now), now)) {
@@ -346,8 +425,7 @@
   return true;
 }
 
-Reply RequestRelay::FinalReply(const Journey& journey, Attempt& attempt,
-                               Duration retry_after) {
+Reply RequestRelay::FinalReply(const Journey& journey, Attempt& attempt) {
   const RequestId& id = journey.request.caller.id;
   const auto own = [&](ReplyOutcome outcome, unsigned status,
                        std::string_view reason, Duration delay = {}) {
@@ -358,7 +436,7 @@
   };
   if (!journey.may_have_run && attempt.outcome != AttemptOutcome::kServed) {
     return own(ReplyOutcome::kNotRun, kUnavailable,
-               "no backend server ran the request", retry_after);
+               "no backend server ran the request", Admission::kRetrySoon);
   }
   if (!attempt.has_answer) {
     return MonotonicNow() >= journey.deadline
@@ -382,9 +460,15 @@
 }
 
 Reply RequestRelay::Refuse(const Journey& journey, std::string_view reason,
-                           Duration retry_after,
                            const std::optional<Placement>& seen) {
   const TimePoint now = MonotonicNow();
+  const CallerRequest& request = journey.request;
+  const Duration time_left =
+      request.caller.time_left.value_or(kDefaultDeadline) -
+      (now - request.arrived_at);
+  std::uniform_real_distribution<double> draw(0, 1);
+  const Duration retry_after =
+      Admission::RetryAfter(time_left, draw(context_.random));
   const auto occupancy = context_.servers.OccupancyOf(journey.service, now);
   context_.metrics.refused.Add();
   context_.log->Record(
--- a/Services/Gateway/request_relay.h
+++ b/Services/Gateway/request_relay.h
@@ -19,6 +19,10 @@
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
   // Backend servers that refused a connection before a request is refused.
   static constexpr unsigned kMostUnreachable = 3;
+  // A hedge is sent when this much of the usual work is left before the goal,
+  // and the first try has taken that much at least.
+  static constexpr double kHedgeReserve = 1.25;
+  static constexpr double kHedgePatience = 1.2;
   // One served request in this number is logged.
   static constexpr std::uint64_t kServedSample = 50;
 
@@ -50,7 +54,33 @@
     Duration elapsed{};                // from sending to the answer's end
   };
 
+  // One try with its placement; `ticket` outlives the work.
+  struct Leg {
+    Placement placement;
+    Attempt attempt;
+  };
+  // State that a try and its hedge share.
+  struct Race {
+    bool is_hedge_running = false;
+    bool has_first_ended = false;
+  };
+
   boost::asio::awaitable<Reply> Travel(Journey& journey);
+  boost::asio::awaitable<Leg> RunLeg(Journey& journey,
+                                     PlacementService::Ticket& ticket,
+                                     std::uint64_t number);
+  // Runs a repeatable try, and a hedge beside it when it is about to miss the
+  // goal; returns the one that brought an answer.
+  boost::asio::awaitable<Leg> RunHedged(Journey& journey,
+                                        PlacementService::Ticket& ticket,
+                                        std::uint64_t number);
+  boost::asio::awaitable<Leg> RunFirst(Journey& journey,
+                                       PlacementService::Ticket& ticket,
+                                       std::uint64_t number, Race& race);
+  boost::asio::awaitable<Leg> RunHedge(Journey& journey, ServerKey first,
+                                       Race& race);
+  bool try_take_repeat(const Journey& journey, std::string_view reason,
+                       TimePoint now);
   DispatchRequest Describe(const Journey& journey);
   static PlacementEnd EndOf(std::uint64_t number, const Placement& placement,
                             const Attempt& attempt, Duration usual_work);
@@ -65,11 +95,10 @@
   AttemptOutcome Classify(Attempt& attempt, const Journey& journey,
                           const ServerState& server, TimePoint now);
   bool may_repeat(Journey& journey, const Attempt& attempt, TimePoint now);
-  Reply FinalReply(const Journey& journey, Attempt& attempt,
-                   Duration retry_after);
+  Reply FinalReply(const Journey& journey, Attempt& attempt);
   Reply Abandon(const Journey& journey, std::string_view phase);
   Reply Refuse(const Journey& journey, std::string_view reason,
-               Duration retry_after, const std::optional<Placement>& seen);
+               const std::optional<Placement>& seen);
   void LogOutcome(const Journey& journey, const Reply& reply,
                   const Placement& placement);
   Duration UsualWork(const RouteEntry& route);
--- a/Tests/Services/Gateway/gateway_test.cc
+++ b/Tests/Services/Gateway/gateway_test.cc
@@ -101,6 +101,24 @@
   CHECK(calls == 2);
 }
 
+// Guards against a caller that waits for a lost answer until the timeout
+// although another backend server is idle.
+TEST_CASE("A repeatable request is hedged before it misses its goal") {
+  GatewayFixture fixture;
+  int calls = 0;
+  const auto first_is_silent = [&calls](const SeenRequest& request) {
+    if (++calls == 1) return ScriptedAnswer{"", AfterAnswer::kKeep, {}, true};
+    return ScriptedAnswer{ScriptedBackend::Sound(request, "hedge")};
+  };
+  fixture.AddBackend("i-1", first_is_silent);
+  fixture.AddBackend("i-2", first_is_silent);
+  fixture.Start();
+  const std::string answer = fixture.Request("GET", "/read/", "id-1");
+  CHECK(HasStatus(answer, 200));
+  CHECK(answer.ends_with("hedge"));
+  CHECK(calls == 2);
+}
+
 // "Not run" must be true: only a backend server's own statement allows it.
 TEST_CASE("A 503 without the statement that nothing ran becomes 502") {
   GatewayFixture fixture;
