Tests: Give each gateway under test an address of its own; mend lint findings

The one step that depends on other processes was a port that was chosen free, released and bound later. Change: fixed ports on a loopback address of each fixture's own.

--- a/Libraries/Balancing/peer_table.cc
+++ b/Libraries/Balancing/peer_table.cc
@@ -158,6 +158,7 @@
     if (peer.zone != own_zone_ && is_live(peer, now)) zones.insert(peer.zone);
   }
   std::vector<std::string> dispatchers;
+  dispatchers.reserve(zones.size());
   for (const ZoneId& zone : zones)
     dispatchers.push_back(DispatcherFor(service, zone, now));
   return dispatchers;
--- a/Services/Entry/request_exchange.cc
+++ b/Services/Entry/request_exchange.cc
@@ -1,7 +1,7 @@
 #include "Services/Entry/request_exchange.h"
 
-#include "Services/Entry/head_writer.h"
 #include "Libraries/Http/socket_io.h"
+#include "Services/Entry/head_writer.h"
 
 namespace dogwood {
 
--- a/Services/Entry/request_exchange.h
+++ b/Services/Entry/request_exchange.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 
+#include "Libraries/Http/body_reader.h"
 #include "Services/Entry/attempt_life_cycle.h"
 #include "Services/Entry/backend_connection.h"
-#include "Libraries/Http/body_reader.h"
 #include "Services/Entry/caller_stream.h"
 #include "Services/Entry/head_writer.h"
 #include "Services/Entry/relay_context.h"
--- a/Services/Entry/request_plan.h
+++ b/Services/Entry/request_plan.h
@@ -4,8 +4,8 @@
 #include <string>
 #include <string_view>
 
-#include "Services/Entry/fleet_view.h"
 #include "Libraries/Http/message_parser.h"
+#include "Services/Entry/fleet_view.h"
 #include "Services/Entry/request_dispatcher.h"
 
 namespace dogwood {
--- a/Services/Entry/request_transfer.cc
+++ b/Services/Entry/request_transfer.cc
@@ -5,9 +5,9 @@
 #include <boost/asio/detached.hpp>
 #include <charconv>
 
+#include "Libraries/Http/socket_io.h"
 #include "Services/Entry/head_writer.h"
 #include "Services/Entry/request_exchange.h"
-#include "Libraries/Http/socket_io.h"
 
 namespace dogwood {
 
--- a/Services/Gateway/request_relay.cc
+++ b/Services/Gateway/request_relay.cc
@@ -10,7 +10,7 @@
 namespace dogwood {
 
 namespace asio = boost::asio;
-using namespace asio::experimental::awaitable_operators;
+using asio::experimental::awaitable_operators::operator||;
 
 namespace {
 
--- a/Services/Gateway/server_connection.cc
+++ b/Services/Gateway/server_connection.cc
@@ -51,7 +51,7 @@
 asio::awaitable<ExchangeEnd> ServerConnection::Exchange(
     std::string_view head, std::string_view body, std::string_view request_id,
     bool is_head_request) {
-  using namespace asio::experimental::awaitable_operators;
+  using asio::experimental::awaitable_operators::operator||;
   is_reusable_ = false;
   is_written_ = false;
   std::array<asio::const_buffer, 2> buffers = {asio::buffer(head),
--- a/Services/Gateway/server_connection.h
+++ b/Services/Gateway/server_connection.h
@@ -24,7 +24,7 @@
   // Answers beyond this are taken for broken.
   static constexpr std::size_t kBodyLimitBytes = std::size_t{32} << 20U;
 
-  ServerConnection(const boost::asio::any_io_executor& executor);
+  explicit ServerConnection(const boost::asio::any_io_executor& executor);
 
   boost::asio::awaitable<boost::system::error_code> Connect(
       boost::asio::ip::tcp::endpoint endpoint);
--- a/Tests/Services/Gateway/gateway_fixture.h
+++ b/Tests/Services/Gateway/gateway_fixture.h
@@ -23,6 +23,9 @@
 // on one thread.
 class GatewayFixture {
  public:
+  static constexpr std::uint16_t kCallersPort = 7001;
+  static constexpr std::uint16_t kReadyPort = 7002;
+
   explicit GatewayFixture(std::string routes = DefaultRoutes())
       : store_(io_), routes_(std::move(routes)) {
     PutPolicy(1);
@@ -79,7 +82,7 @@
   }
 
   bool is_ready() {
-    return Fetch(ready_port_,
+    return Fetch(kReadyPort,
                  "GET /v1/readiness HTTP/1.1\r\nHost: a\r\nConnection: "
                  "close\r\n\r\n")
         .starts_with("HTTP/1.1 200");
@@ -90,7 +93,9 @@
   std::string Fetch(std::uint16_t port, const std::string& bytes) {
     std::string answer;
     bool is_done = false;
-    Spawn(Exchange(port, bytes, answer, is_done));
+    const boost::asio::ip::tcp::endpoint endpoint(
+        boost::asio::ip::make_address(address_), port);
+    Spawn(Exchange(endpoint, bytes, answer, is_done));
     const auto limit = MonotonicNow() + std::chrono::seconds(5);
     while (!is_done && MonotonicNow() < limit)
       io_.run_one_for(std::chrono::milliseconds(50));
@@ -101,7 +106,7 @@
   std::string Request(const std::string& method, const std::string& target,
                       const std::string& id, const std::string& body = "",
                       const std::string& more_fields = "") {
-    return Fetch(callers_port_, Format(method, target, id, body, more_fields));
+    return Fetch(kCallersPort, Format(method, target, id, body, more_fields));
   }
 
   static std::string Format(const std::string& method,
@@ -122,18 +127,18 @@
 
   boost::asio::io_context& io() { return io_; }
   StoreService& store() { return store_; }
-  std::uint16_t callers_port() const { return callers_port_; }
+  boost::asio::ip::tcp::endpoint callers() const {
+    return {boost::asio::ip::make_address(address_), kCallersPort};
+  }
 
  private:
-  static boost::asio::awaitable<void> Exchange(std::uint16_t port,
-                                               std::string bytes,
-                                               std::string& answer,
-                                               bool& is_done) {
+  static boost::asio::awaitable<void> Exchange(
+      boost::asio::ip::tcp::endpoint endpoint, std::string bytes,
+      std::string& answer, bool& is_done) {
     namespace asio = boost::asio;
     constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
     asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
-    const auto [refused] = co_await socket.async_connect(
-        {asio::ip::make_address("127.0.0.1"), port}, kUseTuple);
+    const auto [refused] = co_await socket.async_connect(endpoint, kUseTuple);
     if (!refused) {
       co_await asio::async_write(socket, asio::buffer(bytes), kUseTuple);
       std::array<char, 4096> buffer{};
@@ -151,27 +156,26 @@
     boost::asio::co_spawn(io_, std::move(work), boost::asio::detached);
   }
 
-  // A free port of loopback.
-  std::uint16_t FreePort() {
-    boost::asio::ip::tcp::acceptor acceptor(
-        io_, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
+  // Each gateway has a loopback address of its own, so that its fixed ports
+  // never meet those of other tests or of outgoing connections.
+  static std::string OwnAddress() {
+    static std::atomic<unsigned> count{0};
+    const auto process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(1 + process / 256 % 250) + "." +
+           std::to_string(process % 256) + "." +
+           std::to_string(1 + ++count % 250);
   }
 
   std::string WriteSettings() {
-    callers_port_ = FreePort();
-    ready_port_ = FreePort();
-    const std::uint16_t peer_port = FreePort();
-    static std::atomic<int> count{0};
-    const std::string path = (std::filesystem::temp_directory_path() /
-                              ("dogwood-gateway-" + std::to_string(::getpid()) +
-                               "-" + std::to_string(++count) + ".yaml"))
-                                 .string();
+    address_ = OwnAddress();
+    std::string path = (std::filesystem::temp_directory_path() /
+                        ("dogwood-gateway-" + address_ + ".yaml"))
+                           .string();
     std::ofstream file(path);
-    file << "node_name: front-1\nip: 127.0.0.1\nzone: z\nlisten:\n  front: "
-         << "127.0.0.1:" << callers_port_
-         << "\n  ready_addr: 127.0.0.1:" << ready_port_ << "\nport_range: ["
-         << peer_port << ", " << peer_port << "]\nbounds:\n"
+    file << "node_name: front-1\nip: " << address_ << "\nzone: z\nlisten:\n"
+         << "  front: " << address_ << ":" << kCallersPort
+         << "\n  ready_addr: " << address_ << ":" << kReadyPort
+         << "\nport_range: [7003, 7004]\nbounds:\n"
          << "  budget_ratio: 0.2\n  budget_extra: 100\n  probes_per_s: 60\n"
          << "  grace: 1500ms\nplatform:\n  address: 127.0.0.1:"
          << store_.endpoint().port() << "\n";
@@ -184,8 +188,7 @@
   std::vector<std::unique_ptr<ScriptedBackend>> backends_;
   std::unique_ptr<Gateway> gateway_;
   std::string settings_;
-  std::uint16_t callers_port_ = 0;
-  std::uint16_t ready_port_ = 0;
+  std::string address_;
 };
 
 }  // namespace dogwood
--- a/Tests/Services/Gateway/gateway_test.cc
+++ b/Tests/Services/Gateway/gateway_test.cc
@@ -45,8 +45,8 @@
   fixture.AddBackend("i-1", Echo());
   fixture.Start();
   CHECK(HasStatus(fixture.Request("GET", "/other/", "id-1"), 404));
-  CHECK(HasStatus(fixture.Fetch(fixture.callers_port(), "nonsense\r\n\r\n"),
-                  400));
+  CHECK(HasStatus(
+      fixture.Fetch(GatewayFixture::kCallersPort, "nonsense\r\n\r\n"), 400));
   CHECK(HasStatus(fixture.Request("GET", "/read/", "id-2", "",
                                   "X-Long: " + std::string(5000, 'a') + "\r\n"),
                   431));
@@ -290,8 +290,7 @@
   });
   fixture.Start();
   boost::asio::ip::tcp::socket caller(fixture.io());
-  caller.connect(
-      {boost::asio::ip::make_address("127.0.0.1"), fixture.callers_port()});
+  caller.connect(fixture.callers());
   boost::asio::write(caller, boost::asio::buffer(GatewayFixture::Format(
                                  "GET", "/read/", "id-1")));
   for (int i = 0; i < 100 && backend.seen().empty(); ++i) fixture.RunFor(10ms);
@@ -383,7 +382,7 @@
                                     "id-" + std::to_string(i), "", "",
                                     i == 4 ? "close" : "keep-alive");
   }
-  const std::string answer = fixture.Fetch(fixture.callers_port(), bytes);
+  const std::string answer = fixture.Fetch(GatewayFixture::kCallersPort, bytes);
   std::size_t at = 0;
   for (int i = 0; i < 5; ++i) {
     at = answer.find("body of /read/" + std::to_string(i), at);
--- a/Tests/platform/directory_rows_test.cc
+++ b/Tests/platform/directory_rows_test.cc
@@ -67,7 +67,9 @@
       {R"("timeout":"2000ms")", R"("timeout":2000)"},
       {R"("resources":[)", R"("resources":{"a":[)"},
   };
-  for (const auto& [from, to] : changes) {
+  for (const auto& change : changes) {
+    const auto& from = change.first;
+    const auto& to = change.second;
     CAPTURE(to);
     CHECK(!DecodePolicy(Replaced(kPolicy, from, to)).has_value());
   }
@@ -98,7 +100,9 @@
       {R"("born":1767614913000)", R"("born":1.5)"},
       {R"("cold_left":"1500ms")", R"("cold_left":1500)"},
   };
-  for (const auto& [from, to] : changes) {
+  for (const auto& change : changes) {
+    const auto& from = change.first;
+    const auto& to = change.second;
     CAPTURE(to);
     CHECK(!DecodeServer("i-1", Replaced(kServer, from, to)).has_value());
   }
