Gateway: Take no own stall for a backend server's silence

Cause: when the process gets no processor time for a while, the timers of its health checks and connections are handled before the answers that arrived meanwhile. Every server that was being asked counted as silent, was told to the other hosts as unusable and refused requests for 300 ms. Change: a timer that is handled over 50 ms late is no evidence against a server.

--- a/Services/Gateway/health_prober.cc
+++ b/Services/Gateway/health_prober.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
 
+#include "Services/Gateway/own_stall.h"
+
 namespace dogwood {
 
 namespace asio = boost::asio;
@@ -111,7 +113,9 @@
   }
   // A kept connection may have been closed meanwhile; only silence or a refused
   // connection speaks against the server.
-  const bool is_silent = MonotonicNow() - asked_at >= kTimeout;
+  const TimePoint due_at = asked_at + kTimeout;
+  const TimePoint now = MonotonicNow();
+  const bool is_silent = now >= due_at && !HasStalled(due_at, now);
   if (response.error().code == ErrorCode::kUnavailable || is_silent) {
     const std::string error = response.error().ToString();
     context_.log->Record(
--- a/Services/Gateway/request_relay.cc
+++ b/Services/Gateway/request_relay.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Services/Gateway/caller_watch.h"
+#include "Services/Gateway/own_stall.h"
 #include "Services/Gateway/reply_writer.h"
 
 namespace dogwood {
@@ -123,7 +124,9 @@
 PlacementEnd RequestRelay::EndOf(std::uint64_t number,
                                  const Placement& placement,
                                  const Attempt& attempt, Duration usual_work) {
-  PlacementEnd end{number, placement.server, attempt.outcome, attempt.load};
+  const AttemptOutcome outcome =
+      attempt.has_stalled ? AttemptOutcome::kAbandoned : attempt.outcome;
+  PlacementEnd end{number, placement.server, outcome, attempt.load};
   if (attempt.outcome != AttemptOutcome::kServed) return end;
   end.work_ratio = static_cast<double>(attempt.elapsed.count()) /
                    (static_cast<double>(usual_work.count()) *
@@ -266,7 +269,10 @@
   auto connection =
       pool_.Take(placement.server, journey.route.repeatability, started_at);
   if (!connection->has_served) {
-    if (!co_await Connect(*connection, seen, journey.deadline)) {
+    const ConnectEnd connected =
+        co_await Connect(*connection, seen, journey.deadline);
+    if (connected != ConnectEnd::kConnected) {
+      attempt.has_stalled = connected == ConnectEnd::kOwnStall;
       attempt.outcome = AttemptOutcome::kUnreachable;
       co_return attempt;
     }
@@ -311,31 +317,32 @@
   attempt.has_answer = true;
   attempt.elapsed = now - started_at;
   attempt.connection = std::move(connection);
-  attempt.outcome = Classify(attempt, journey, seen, now);
+  attempt.outcome = Classify(attempt, journey, seen);
   if (attempt.outcome == AttemptOutcome::kServed)
     LearnWork(journey.route, now - started_at, placement.slowdown);
   co_return attempt;
 }
 
-asio::awaitable<bool> RequestRelay::Connect(ServerConnection& connection,
-                                            const ServerState& server,
-                                            TimePoint deadline) {
+asio::awaitable<RequestRelay::ConnectEnd> RequestRelay::Connect(
+    ServerConnection& connection, const ServerState& server,
+    TimePoint deadline) {
   const auto endpoint = ParseEndpoint(server.entry.address);
-  if (!endpoint) co_return false;
+  if (!endpoint) co_return ConnectEnd::kUnreachable;
   context_.metrics.connections_opened.Add();
   const TimePoint limit = std::min(deadline, MonotonicNow() + kConnectTimeout);
   const auto ended =
       co_await (connection.Connect(endpoint.value()) || AwaitTime(limit));
   const bool is_connected = ended.index() == 0 && !std::get<0>(ended);
-  if (!is_connected) {
-    const std::string error = ended.index() == 0 ? std::get<0>(ended).message()
-                                                 : "no connection in time";
-    context_.log->Record(EventId::kServerUnusable,
-                         {{"server", server.entry.id.value()},
-                          {"reason", "connection"},
-                          {"error", error}});
-  }
-  co_return is_connected;
+  if (is_connected) co_return ConnectEnd::kConnected;
+  if (ended.index() != 0 && HasStalled(limit, MonotonicNow()))
+    co_return ConnectEnd::kOwnStall;
+  const std::string error = ended.index() == 0 ? std::get<0>(ended).message()
+                                               : "no connection in time";
+  context_.log->Record(EventId::kServerUnusable,
+                       {{"server", server.entry.id.value()},
+                        {"reason", "connection"},
+                        {"error", error}});
+  co_return ConnectEnd::kUnreachable;
 }
 
 asio::awaitable<ExchangeEnd> RequestRelay::Exchange(
@@ -350,8 +357,7 @@
 }
 
 AttemptOutcome RequestRelay::Classify(Attempt& attempt, const Journey& journey,
-                                      const ServerState& server,
-                                      TimePoint now) {
+                                      const ServerState& server) {
   ServerConnection& connection = *attempt.connection;
   constexpr unsigned kMisdirected = 421;
   constexpr unsigned kFirstSuccess = 200;
--- a/Services/Gateway/request_relay.h
+++ b/Services/Gateway/request_relay.h
@@ -48,6 +48,7 @@
     AttemptOutcome outcome = AttemptOutcome::kAbandoned;
     bool was_sent = false;
     bool has_caller_left = false;
+    bool has_stalled = false;  // this process, while it waited
     std::unique_ptr<ServerConnection> connection;  // with kServed, kFailed, ...
     bool has_answer = false;
     std::optional<ReportedLoad> load;  // told with the answer
@@ -89,11 +90,12 @@
   boost::asio::awaitable<ExchangeEnd> Exchange(ServerConnection& connection,
                                                const Journey& journey,
                                                const ServerState& server);
-  boost::asio::awaitable<bool> Connect(ServerConnection& connection,
-                                       const ServerState& server,
-                                       TimePoint deadline);
+  enum class ConnectEnd { kConnected, kUnreachable, kOwnStall };
+  boost::asio::awaitable<ConnectEnd> Connect(ServerConnection& connection,
+                                             const ServerState& server,
+                                             TimePoint deadline);
   AttemptOutcome Classify(Attempt& attempt, const Journey& journey,
-                          const ServerState& server, TimePoint now);
+                          const ServerState& server);
   bool may_repeat(Journey& journey, const Attempt& attempt, TimePoint now);
   Reply FinalReply(const Journey& journey, Attempt& attempt);
   Reply Abandon(const Journey& journey, std::string_view phase);
--- a/Tests/Services/Gateway/gateway_test.cc
+++ b/Tests/Services/Gateway/gateway_test.cc
@@ -2,6 +2,8 @@
 // platform's protocol.
 #include "Services/Gateway/gateway.h"
 
+#include <thread>
+
 #include "Tests/Services/Gateway/gateway_fixture.h"
 
 namespace dogwood {
@@ -346,6 +348,22 @@
   CHECK(fixture.is_ready());
 }
 
+// Guards against a host that gets no processor time for a moment and then takes
+// all backend servers that it was asking for silent.
+TEST_CASE("A stall of the own process speaks against no backend server") {
+  GatewayFixture fixture;
+  ScriptedBackend& backend = fixture.AddBackend("i-1", Echo());
+  fixture.Start();
+  backend.set_health_delay(100ms);
+  const int before = backend.health_checks();
+  for (int i = 0; i < 100 && backend.health_checks() == before; ++i)
+    fixture.RunFor(10ms);
+  REQUIRE(backend.health_checks() > before);
+  std::this_thread::sleep_for(2 * HealthProber::kTimeout);
+  for (int i = 0; i < 3; ++i)
+    CHECK(HasStatus(fixture.Request("GET", "/read/", "id"), 200));
+}
+
 TEST_CASE("Without a configuration the host is not ready and answers 503") {
   GatewayFixture fixture;
   fixture.AddBackend("i-1", Echo());
--- a/Tests/StandIns/scripted_backend.cc
+++ b/Tests/StandIns/scripted_backend.cc
@@ -101,11 +101,13 @@
 
 ScriptedAnswer ScriptedBackend::Answer(const SeenRequest& request) {
   if (request.target == "/health") {
+    ++health_checks_;
     const auto cold =
         std::chrono::duration_cast<std::chrono::milliseconds>(cold_left_);
     return {"HTTP/1.1 200 OK\r\nX-Backend-Id: " + id_ +
-            "\r\nX-Backend-Load: 0,0,6,100\r\nX-Cold-Ms: " +
-            std::to_string(cold.count()) + "\r\nContent-Length: 0\r\n\r\n"};
+                "\r\nX-Backend-Load: 0,0,6,100\r\nX-Cold-Ms: " +
+                std::to_string(cold.count()) + "\r\nContent-Length: 0\r\n\r\n",
+            AfterAnswer::kKeep, health_delay_};
   }
   seen_.push_back(request);
   return script_(request);
--- a/Tests/StandIns/scripted_backend.h
+++ b/Tests/StandIns/scripted_backend.h
@@ -46,6 +46,10 @@
   const std::string& id() const { return id_; }
   const std::vector<SeenRequest>& seen() const { return seen_; }
   void set_cold(Duration cold_left) { cold_left_ = cold_left; }
+  // Health checks are answered after this time.
+  void set_health_delay(Duration delay) { health_delay_ = delay; }
+  // Health checks read so far.
+  int health_checks() const { return health_checks_; }
   // Requests left without an answer until their connection was closed.
   int abandoned_count() const { return abandoned_; }
 
@@ -64,6 +68,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::vector<SeenRequest> seen_;
   Duration cold_left_{};
+  Duration health_delay_{};
+  int health_checks_ = 0;
   int abandoned_ = 0;
 };
 
