--- a/Tests/Services/Gateway/gateway_fixture.h
+++ b/Tests/Services/Gateway/gateway_fixture.h
@@ -68,17 +68,16 @@
   }
 
   void StartUnready() {
-    settings_ = WriteSettings();
-    auto parsed = platform::LoadNodeSettings(settings_);
-    REQUIRE(parsed.has_value());
-    EventLog::Options options;
-    options.file = settings_ + ".events";
-    auto log = EventLog::Open(options);
-    REQUIRE(log.has_value());
-    gateway_ = std::make_unique<Gateway>(io_, std::move(parsed).value(),
-                                         settings_, std::move(log).value());
-    const auto started = gateway_->Start(std::nullopt);
-    if (!started) FAIL(started.error().ToString());
+    address_ = OwnAddress();
+    gateways_.push_back(MakeGateway(address_, /*contact=*/""));
+  }
+
+  // Starts another host of the same zone, which knows the first one's address,
+  // and turns the fixture's requests to it.
+  void StartSecond() {
+    const std::string first = address_;
+    address_ = OwnAddress();
+    gateways_.push_back(MakeGateway(address_, first));
   }
 
   bool is_ready() {
@@ -166,19 +165,38 @@
            std::to_string(1 + ++count % 250);
   }
 
-  std::string WriteSettings() {
-    address_ = OwnAddress();
+  std::unique_ptr<Gateway> MakeGateway(const std::string& address,
+                                       const std::string& contact) {
+    const std::string path = WriteSettings(address, contact);
+    auto parsed = platform::LoadNodeSettings(path);
+    REQUIRE(parsed.has_value());
+    EventLog::Options options;
+    options.file = path + ".events";
+    auto log = EventLog::Open(options);
+    REQUIRE(log.has_value());
+    auto gateway = std::make_unique<Gateway>(io_, std::move(parsed).value(),
+                                             path, std::move(log).value());
+    const auto started = gateway->Start(std::nullopt);
+    if (!started) FAIL(started.error().ToString());
+    return gateway;
+  }
+
+  std::string WriteSettings(const std::string& address,
+                            const std::string& contact) {
     std::string path = (std::filesystem::temp_directory_path() /
-                        ("dogwood-gateway-" + address_ + ".yaml"))
+                        ("dogwood-gateway-" + address + ".yaml"))
                            .string();
     std::ofstream file(path);
-    file << "node_name: front-1\nip: " << address_ << "\nzone: z\nlisten:\n"
-         << "  front: " << address_ << ":" << kCallersPort
-         << "\n  ready_addr: " << address_ << ":" << kReadyPort
+    file << "node_name: front-" << address << "\nip: " << address
+         << "\nzone: z\nlisten:\n"
+         << "  front: " << address << ":" << kCallersPort
+         << "\n  ready_addr: " << address << ":" << kReadyPort
          << "\nport_range: [7003, 7004]\nbounds:\n"
          << "  budget_ratio: 0.2\n  budget_extra: 100\n  probes_per_s: 60\n"
          << "  grace: 1500ms\nplatform:\n  address: 127.0.0.1:"
          << store_.endpoint().port() << "\n";
+    // The port of a contact is not used: hosts meet on their peer port.
+    if (!contact.empty()) file << "seeds: [\"" << contact << ":1\"]\n";
     return path;
   }
 
@@ -186,8 +204,7 @@
   StoreService store_;
   std::string routes_;
   std::vector<std::unique_ptr<ScriptedBackend>> backends_;
-  std::unique_ptr<Gateway> gateway_;
-  std::string settings_;
+  std::vector<std::unique_ptr<Gateway>> gateways_;
   std::string address_;
 };
 
--- a/Tests/Services/Gateway/gateway_test.cc
+++ b/Tests/Services/Gateway/gateway_test.cc
@@ -364,6 +364,18 @@
     CHECK(HasStatus(fixture.Request("GET", "/read/", "id"), 200));
 }
 
+// Guards against restarted hosts that wait for the store.
+TEST_CASE("A host that starts while the store is away copies from its zone") {
+  GatewayFixture fixture;
+  fixture.AddBackend("i-1", Echo());
+  fixture.Start();
+  fixture.store().set_fault(StoreFault::kRefuses);
+  fixture.StartSecond();
+  for (int i = 0; i < 400 && !fixture.is_ready(); ++i) fixture.RunFor(10ms);
+  REQUIRE(fixture.is_ready());
+  CHECK(HasStatus(fixture.Request("GET", "/read/", "id-1"), 200));
+}
+
 TEST_CASE("Without a configuration the host is not ready and answers 503") {
   GatewayFixture fixture;
   fixture.AddBackend("i-1", Echo());
