Gateway: Send a repeatable request on when its server is lost

Their servers had crashed silently, or had run the request and lost the answer; the one hedge was asked for once, before the goal, and never again when no server was free at that moment. Change: while a first try takes longer than usual, a server that was found silent, restarted or replaced since is followed by another try with the urgency of a first one; a hedge that was denied is asked for again each 120 ms, also after the goal, while 0.4 of the fast slots are free. All draw on the shared retry budget. A grant whose repeat the budget denies is given back at once. Tests: gateway_test "A repeatable request leaves a server that fell silent" (failed before), dispatcher_test "A hedge after the goal" (failed before).

--- a/Libraries/Balancing/admission.cc
+++ b/Libraries/Balancing/admission.cc
@@ -18,10 +18,13 @@
   const Duration slack = query.goal_left - reserve;
   const bool can_be_in_time = slack > Duration::zero();
   if (input.is_hedge) {
+    // Once the goal has passed, an answer in time at all is worth a free
+    // server.
+    const Duration left =
+        query.goal_left > Duration::zero() ? query.goal_left : query.time_left;
     const bool is_worth_it =
         input.placement &&
-        Scaled(query.usual_work, input.placement->slowdown) <=
-            query.goal_left &&
+        Scaled(query.usual_work, input.placement->slowdown) <= left &&
         input.occupancy.free_fast_slots >=
             kFreePartForHedges * input.occupancy.fast_slots;
     return is_worth_it ? AdmissionVerdict::kSend : AdmissionVerdict::kRefuse;
--- a/Services/Gateway/request_relay.cc
+++ b/Services/Gateway/request_relay.cc
@@ -188,65 +188,6 @@
   co_return leg;
 }
 
-asio::awaitable<RequestRelay::Leg> RequestRelay::RunHedged(
-    Journey& journey, PlacementService::Ticket& ticket, std::uint64_t number) {
-  Race race;
-  const ServerKey first = ticket.decision()->placement->server;
-  auto ended = co_await (RunFirst(journey, ticket, number, race) ||
-                         RunHedge(journey, first, race));
-  if (ended.index() == 0) co_return std::move(std::get<0>(ended));
-  co_return std::move(std::get<1>(ended));
-}
-
-asio::awaitable<RequestRelay::Leg> RequestRelay::RunFirst(
-    Journey& journey, PlacementService::Ticket& ticket, std::uint64_t number,
-    Race& race) {
-  Leg leg = co_await RunLeg(journey, ticket, number);
-  race.has_first_ended = true;
-  const bool is_answer = leg.attempt.outcome == AttemptOutcome::kServed ||
-                         leg.attempt.has_caller_left;
-  if (is_answer || !race.is_hedge_running) co_return leg;
-  journey.may_have_run = true;
-  co_await AwaitTime(TimePoint::max());
-  co_return leg;
-}
-
-asio::awaitable<RequestRelay::Leg> RequestRelay::RunHedge(Journey& journey,
-                                                          ServerKey first,
-                                                          Race& race) {
-  DispatchRequest described = Describe(journey);
-  const Duration usual_work = described.usual_work;
-  const auto part = [usual_work](double factor) {
-    return std::chrono::duration_cast<Duration>(usual_work * factor);
-  };
-  const TimePoint hedge_at = described.goal_at - part(kHedgeReserve);
-  const bool is_useful = hedge_at >= MonotonicNow() + part(kHedgePatience) &&
-                         hedge_at < journey.deadline;
-  if (!is_useful) co_await AwaitTime(TimePoint::max());
-  co_await AwaitTime(hedge_at);
-  if (race.has_first_ended) co_await AwaitTime(TimePoint::max());
-  described.number = placements_.NextNumber();
-  described.arrived_at = MonotonicNow();
-  described.is_hedge = true;
-  described.excluded.push_back(first);
-  const std::uint64_t number = described.number;
-  PlacementService::Ticket ticket(placements_, std::move(described));
-  co_await ticket.Await();
-  const auto& decision = ticket.decision();
-  const bool is_granted =
-      decision && decision->verdict == AdmissionVerdict::kSend &&
-      try_take_repeat(journey, "the first try is slow", MonotonicNow());
-  if (!is_granted) co_await AwaitTime(TimePoint::max());
-  race.is_hedge_running = true;
-  Leg leg = co_await RunLeg(journey, ticket, number);
-  race.is_hedge_running = false;
-  const bool is_answer = leg.attempt.outcome == AttemptOutcome::kServed ||
-                         leg.attempt.has_caller_left;
-  if (is_answer || race.has_first_ended) co_return leg;
-  co_await AwaitTime(TimePoint::max());
-  co_return leg;
-}
-
 Reply RequestRelay::Abandon(const Journey& journey, std::string_view phase) {
   const RequestId& id = journey.request.caller.id;
   context_.metrics.caller_left.Add();
--- a/Services/Gateway/request_relay.h
+++ b/Services/Gateway/request_relay.h
@@ -23,6 +23,14 @@
   // and the first try has taken that much at least.
   static constexpr double kHedgeReserve = 1.25;
   static constexpr double kHedgePatience = 1.2;
+  // Without time for a hedge before the goal, one is sent when the first try
+  // has taken this much of the usual work: it may bring no answer at all.
+  static constexpr double kLatePatience = 4;
+  // A hedge that found no free server is asked for again after this time.
+  static constexpr Duration kHedgeRetry = std::chrono::milliseconds(120);
+  // While a first try takes longer than usual, its server's state is looked at
+  // this often.
+  static constexpr Duration kLostLook = std::chrono::milliseconds(60);
   // One served request in this number is logged.
   static constexpr std::uint64_t kServedSample = 50;
 
@@ -62,6 +70,9 @@
   };
   // State that a try and its hedge share.
   struct Race {
+    ServerKey first;  // the first try's server
+    TimePoint sent_at{};
+    std::uint64_t started_at_ms = 0;  // of that server
     bool is_hedge_running = false;
     bool has_first_ended = false;
   };
@@ -71,15 +82,20 @@
                                      PlacementService::Ticket& ticket,
                                      std::uint64_t number);
   // Runs a repeatable try, and a hedge beside it when it is about to miss the
-  // goal; returns the one that brought an answer.
+  // goal or its server is lost; returns the one that brought an answer.
   boost::asio::awaitable<Leg> RunHedged(Journey& journey,
                                         PlacementService::Ticket& ticket,
                                         std::uint64_t number);
   boost::asio::awaitable<Leg> RunFirst(Journey& journey,
                                        PlacementService::Ticket& ticket,
                                        std::uint64_t number, Race& race);
-  boost::asio::awaitable<Leg> RunHedge(Journey& journey, ServerKey first,
-                                       Race& race);
+  boost::asio::awaitable<Leg> RunHedge(Journey& journey, Race& race);
+  // One try beside the first one; nothing when no server or repeat was granted.
+  boost::asio::awaitable<std::unique_ptr<Leg>> TryBeside(Journey& journey,
+                                                         Race& race,
+                                                         bool is_lost);
+  // Whether the first try's server has crashed or fallen silent since.
+  bool IsLost(const Race& race) const;
   bool try_take_repeat(const Journey& journey, std::string_view reason,
                        TimePoint now);
   DispatchRequest Describe(const Journey& journey);
--- a/Tests/Libraries/Balancing/dispatcher_test.cc
+++ b/Tests/Libraries/Balancing/dispatcher_test.cc
@@ -105,6 +105,25 @@
   CHECK(fixture.dispatcher.grant_count() == 5);
 }
 
+// Pattern: servers run requests and their answers are lost. Guards against
+// callers that wait for such an answer until the timeout while servers are
+// idle.
+TEST_CASE("A hedge after the goal is sent while much is free") {
+  Fixture fixture;
+  DispatchRequest hedge = Fixture::Make(1, 1);
+  hedge.is_hedge = true;
+  hedge.goal_at = kStart - 100ms;
+  SUBCASE("with time left") {
+    CHECK(fixture.dispatcher.Add(hedge, kStart)->verdict ==
+          AdmissionVerdict::kSend);
+  }
+  SUBCASE("without time left") {
+    hedge.deadline = kStart + hedge.usual_work / 2;
+    CHECK(fixture.dispatcher.Add(hedge, kStart)->verdict ==
+          AdmissionVerdict::kRefuse);
+  }
+}
+
 // Guards against hedges that take the room of first tries in an overload.
 TEST_CASE("A hedge is sent while much is free and refused at once otherwise") {
   Fixture fixture;
--- a/Tests/Services/Gateway/gateway_fixture.h
+++ b/Tests/Services/Gateway/gateway_fixture.h
@@ -101,6 +101,14 @@
     return answer;
   }
 
+  // Begins a request on a connection of its own; `answer` outlives it.
+  void Begin(const std::string& bytes, std::string& answer) {
+    const boost::asio::ip::tcp::endpoint endpoint(
+        boost::asio::ip::make_address(address_), kCallersPort);
+    static bool is_done = false;
+    Spawn(Exchange(endpoint, bytes, answer, is_done));
+  }
+
   // One request on a connection of its own.
   std::string Request(const std::string& method, const std::string& target,
                       const std::string& id, const std::string& body = "",
@@ -112,11 +120,12 @@
                             const std::string& target, const std::string& id,
                             const std::string& body = "",
                             const std::string& more_fields = "",
-                            const std::string& connection = "close") {
+                            const std::string& connection = "close",
+                            const std::string& time_left_ms = "3000") {
     std::string text = method + " " + target +
                        " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id +
-                       "\r\nX-Deadline-Ms: 3000\r\nConnection: " + connection +
-                       "\r\n" + more_fields;
+                       "\r\nX-Deadline-Ms: " + time_left_ms +
+                       "\r\nConnection: " + connection + "\r\n" + more_fields;
     if (!body.empty())
       text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     return text + "\r\n" + body;
--- a/Tests/Services/Gateway/gateway_test.cc
+++ b/Tests/Services/Gateway/gateway_test.cc
@@ -121,6 +121,37 @@
   CHECK(calls == 2);
 }
 
+// Guards against callers that wait for a crashed server until their timeout
+// when their request is too late for a hedge.
+TEST_CASE("A repeatable request leaves a server that fell silent") {
+  GatewayFixture fixture(R"({"entry_kind":"routes","metadata":{"name":"read"},
+      "spec":{"host":"a.example","prefix":"/read/","kind":"safe",
+      "timeout":"4s","latency_goal":"300ms","priority":2,"service":"s",
+      "max_attempts":2}},)");
+  int calls = 0;
+  const auto second_is_silent = [&calls](const SeenRequest& request) {
+    if (++calls == 2) return ScriptedAnswer{"", AfterAnswer::kKeep, {}, true};
+    return ScriptedAnswer{ScriptedBackend::Sound(request, "rescued")};
+  };
+  ScriptedBackend& first = fixture.AddBackend("i-1", second_is_silent);
+  ScriptedBackend& second = fixture.AddBackend("i-2", second_is_silent);
+  fixture.Start();
+  CHECK(HasStatus(fixture.Request("GET", "/read/", "id-1"), 200));
+  // A caller that has less time left than others is on a later try.
+  std::string answer;
+  fixture.Begin(
+      GatewayFixture::Format("GET", "/read/", "id-2", "", "", "close", "2500"),
+      answer);
+  for (int i = 0; i < 400 && calls < 2; ++i) fixture.RunFor(10ms);
+  REQUIRE(calls == 2);
+  const bool is_first =
+      !first.seen().empty() && first.seen().back().id == "id-2";
+  (is_first ? first : second).set_health_silent();
+  for (int i = 0; i < 400 && answer.empty(); ++i) fixture.RunFor(10ms);
+  CHECK(HasStatus(answer, 200));
+  CHECK(answer.ends_with("rescued"));
+}
+
 // "Not run" must be true: only a backend server's own statement allows it.
 TEST_CASE("A 503 without the statement that nothing ran becomes 502") {
   GatewayFixture fixture;
--- a/Tests/StandIns/scripted_backend.cc
+++ b/Tests/StandIns/scripted_backend.cc
@@ -107,7 +107,7 @@
     return {"HTTP/1.1 200 OK\r\nX-Backend-Id: " + id_ +
                 "\r\nX-Backend-Load: 0,0,6,100\r\nX-Cold-Ms: " +
                 std::to_string(cold.count()) + "\r\nContent-Length: 0\r\n\r\n",
-            AfterAnswer::kKeep, health_delay_};
+            AfterAnswer::kKeep, health_delay_, is_health_silent_};
   }
   seen_.push_back(request);
   return script_(request);
--- a/Tests/StandIns/scripted_backend.h
+++ b/Tests/StandIns/scripted_backend.h
@@ -48,6 +48,8 @@
   void set_cold(Duration cold_left) { cold_left_ = cold_left; }
   // Health checks are answered after this time.
   void set_health_delay(Duration delay) { health_delay_ = delay; }
+  // Health checks get no answer.
+  void set_health_silent() { is_health_silent_ = true; }
   // Health checks read so far.
   int health_checks() const { return health_checks_; }
   // Requests left without an answer until their connection was closed.
@@ -69,6 +71,7 @@
   std::vector<SeenRequest> seen_;
   Duration cold_left_{};
   Duration health_delay_{};
+  bool is_health_silent_ = false;
   int health_checks_ = 0;
   int abandoned_ = 0;
 };
