--- /dev/null
+++ b/Tests/Soak/host_process.cc
@@ -0,0 +1,69 @@
+#include "Tests/Soak/host_process.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+
+namespace dogwood {
+
+HostProcess::~HostProcess() { Kill(); }
+
+Result<std::string> HostProcess::WriteSettings() const {
+  const std::string& address = options_.address;
+  const std::string path = options_.folder + "/" + address + ".yaml";
+  std::ofstream file(path);
+  file << "node_name: front-" << address << "\nip: " << address
+       << "\nzone: " << options_.zone << "\nfirst_start: false\nlisten:\n"
+       << "  front: " << address << ":" << kCallersPort
+       << "\n  ready_addr: " << address << ":" << kCallersPort + 1
+       << "\nport_range: [" << kCallersPort + 2 << ", " << kCallersPort + 3
+       << "]\nbounds:\n  budget_ratio: 0.2\n  budget_extra: 62\n"
+       << "  probes_per_s: 60\n  grace: 6s\nplatform:\n  address: "
+       << options_.store << "\nseeds: [" << options_.contacts << "]\n";
+  file.close();
+  if (!file) return Fail(ErrorCode::kIo, "cannot write " + path);
+  return path;
+}
+
+Result<void> HostProcess::Start() {
+  TRY_ASSIGN(const std::string settings, WriteSettings());
+  const std::string log = options_.folder + "/" + options_.address + ".log";
+  ++incarnation_;
+  const pid_t process = ::fork();
+  if (process < 0) return Fail(ErrorCode::kIo, "cannot start a process");
+  if (process > 0) {
+    process_ = process;
+    return outcome::success();
+  }
+  const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::dup2(file, STDOUT_FILENO);
+  ::dup2(file, STDERR_FILENO);
+  ::execl(options_.program.c_str(), options_.program.c_str(), "--settings",
+          settings.c_str(), nullptr);
+  ::_exit(127);
+}
+
+void HostProcess::Signal(int signal) {
+  if (process_ > 0) ::kill(process_, signal);
+}
+
+bool HostProcess::is_running() {
+  if (process_ <= 0) return false;
+  int status = 0;
+  if (::waitpid(process_, &status, WNOHANG) != process_) return true;
+  process_ = -1;
+  exit_status_ = status;
+  return false;
+}
+
+void HostProcess::Kill() {
+  if (process_ <= 0) return;
+  ::kill(process_, SIGKILL);
+  ::waitpid(process_, nullptr, 0);
+  process_ = -1;
+}
+
+}  // namespace dogwood
