--- a/Services/Gateway/request_relay.cc
+++ b/Services/Gateway/request_relay.cc
@@ -214,6 +214,7 @@
     const ConnectEnd connected =
         co_await Connect(*connection, seen, journey.deadline);
     if (connected != ConnectEnd::kConnected) {
+      journey.last_end = "no-connection";
       attempt.has_stalled = connected == ConnectEnd::kOwnStall;
       attempt.outcome = AttemptOutcome::kUnreachable;
       co_return attempt;
@@ -240,6 +241,7 @@
     if (ended.index() == 0) end = std::get<0>(ended);
   }
   const TimePoint now = MonotonicNow();
+  journey.last_end = end ? kExchangeEndNames.NameOf(*end) : "no-answer-in-time";
   if (!end) {
     attempt.outcome = attempt.has_caller_left ? AttemptOutcome::kAbandoned
                                               : AttemptOutcome::kLost;
@@ -464,6 +466,9 @@
        {"elapsed_ms", ToMs(elapsed)},
        {"goal_ms", ToMs(journey.route.latency_goal)},
        {"attempts", static_cast<std::int64_t>(journey.attempts)},
+       {"end", reply.outcome == ReplyOutcome::kServed
+                   ? kExchangeEndNames.NameOf(ExchangeEnd::kAnswered)
+                   : journey.last_end},
        {"expected_ms", ToMs(placement.expected)},
        {"in_work", static_cast<std::int64_t>(placement.in_work)},
        {"load_age_ms",
--- a/Services/Gateway/request_relay.h
+++ b/Services/Gateway/request_relay.h
@@ -50,6 +50,7 @@
     unsigned attempts = 0;      // backend servers that got the request
     unsigned unreachable = 0;   // backend servers that it could not be sent to
     bool may_have_run = false;  // at one of the backend servers so far
+    std::string_view last_end = "not-sent";  // how the last try ended, for logs
     std::vector<ServerKey> tried;
   };
   struct Attempt {
--- a/Services/Gateway/server_connection.h
+++ b/Services/Gateway/server_connection.h
@@ -18,6 +18,13 @@
   kMalformed,  // bytes that are no answer in the protocol, or a cut body
 };
 
+inline constexpr NameTable<ExchangeEnd, 4> kExchangeEndNames{{{
+    {ExchangeEnd::kAnswered, "answered"},
+    {ExchangeEnd::kUnsent, "unsent"},
+    {ExchangeEnd::kLost, "connection-lost"},
+    {ExchangeEnd::kMalformed, "answer-broken"},
+}}};
+
 // One connection to a backend server, for one request at a time.
 class ServerConnection {
  public:
