Gateway: Tell of all servers of a large service in turn

Lists of hosts each 0.6 s were the largest part of what a steward sends. Change: unusable servers and those told of longest ago come first, the others follow; other zones get the next ones in turn; lists of hosts travel each second. Test: server_table_test "News beyond a digest follow" (failed before).

--- a/Libraries/Balancing/server_state.h
+++ b/Libraries/Balancing/server_state.h
@@ -72,6 +72,7 @@
 
   TimePoint heard_at{};   // last answer of any kind, seen by any host
   bool has_news = false;  // to be told to other hosts
+  TimePoint told_at{};    // when they were last told
 };
 
 }  // namespace dogwood
--- a/Libraries/Balancing/server_table.cc
+++ b/Libraries/Balancing/server_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "Libraries/Routing/rendezvous.h"
 
@@ -317,13 +318,28 @@
   return observation;
 }
 
-std::vector<ServerObservation> ServerTable::TakeNews(TimePoint now) {
-  std::vector<ServerObservation> news;
+std::vector<ServerObservation> ServerTable::TakeNews(std::size_t most,
+                                                     TimePoint now) {
+  std::vector<ServerState*> candidates;
   for (auto& [key, server] : servers_) {
-    if (!server->has_news) continue;
+    if (server->has_news && (server->load || server->needs_check))
+      candidates.push_back(server.get());
+  }
+  if (candidates.size() > most) {
+    const auto last = candidates.begin() + static_cast<std::ptrdiff_t>(most);
+    std::nth_element(candidates.begin(), last, candidates.end(),
+                     [](const ServerState* left, const ServerState* right) {
+                       return std::tuple(!left->needs_check, left->told_at) <
+                              std::tuple(!right->needs_check, right->told_at);
+                     });
+    candidates.resize(most);
+  }
+  std::vector<ServerObservation> news;
+  news.reserve(candidates.size());
+  for (ServerState* server : candidates) {
     server->has_news = false;
-    if (server->load || server->needs_check)
-      news.push_back(Observe(*server, now));
+    server->told_at = now;
+    news.push_back(Observe(*server, now));
   }
   return news;
 }
--- a/Libraries/Balancing/server_table.h
+++ b/Libraries/Balancing/server_table.h
@@ -90,8 +90,9 @@
   // own news to whom they concern.
   void Merge(const ServerObservation& observation, TimePoint now);
 
-  // News since the last call.
-  std::vector<ServerObservation> TakeNews(TimePoint now);
+  // News that were not taken yet, `most` at a time: first servers that were
+  // found unusable, then those told of longest ago.
+  std::vector<ServerObservation> TakeNews(std::size_t most, TimePoint now);
   // Everything known of a service's servers in one zone.
   std::vector<ServerObservation> Describe(const ServiceId& service,
                                           const ZoneId& zone,
--- a/Services/Gateway/fleet_link.cc
+++ b/Services/Gateway/fleet_link.cc
@@ -1,5 +1,6 @@
 #include "Services/Gateway/fleet_link.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -96,7 +97,7 @@
     const TimePoint now = MonotonicNow();
     FleetDigest digest = BaseDigest(now);
     if (now - news_sent_at_ >= kNewsInterval) {
-      digest.observations = context_.servers.TakeNews(now);
+      digest.observations = context_.servers.TakeNews(kMostObservations, now);
       news_sent_at_ = now;
     }
     const ReaderRole role = sync_.Role(now);
@@ -108,8 +109,6 @@
       continue;
     }
     if (role == ReaderRole::kFleet) TellOtherStewards(digest, now);
-    if (digest.observations.size() > kMostObservations)
-      digest.observations.resize(kMostObservations);
     if (now - peers_sent_at_ >= kPeerListInterval &&
         context_.peers.is_steward(now)) {
       digest.peers = context_.peers.Describe(now);
@@ -132,6 +131,21 @@
     SendTo(ip, bytes);
 }
 
+std::vector<ServerObservation> FleetLink::NextObservations(
+    const ServiceId& service, TimePoint now) {
+  auto observations =
+      context_.servers.Describe(service, context_.settings.zone, now);
+  if (observations.size() <= kMostObservations) return observations;
+  std::size_t& told = told_servers_[service];
+  told %= observations.size();
+  std::rotate(observations.begin(),
+              observations.begin() + static_cast<std::ptrdiff_t>(told),
+              observations.end());
+  told += kMostObservations;
+  observations.resize(kMostObservations);
+  return observations;
+}
+
 asio::awaitable<void> FleetLink::SendToOtherZones() {
   asio::steady_timer timer(context_.io);
   for (;;) {
@@ -142,9 +156,7 @@
     for (const ServiceId& service : context_.servers.Services()) {
       if (!context_.peers.is_responsible(service, zone, now)) continue;
       FleetDigest digest = BaseDigest(now);
-      digest.observations = context_.servers.Describe(service, zone, now);
-      if (digest.observations.size() > kMostObservations)
-        digest.observations.resize(kMostObservations);
+      digest.observations = NextObservations(service, now);
       const auto bytes = EncodeMessage(digest);
       for (const std::string& ip :
            context_.peers.OtherDispatchersFor(service, now))
--- a/Services/Gateway/fleet_link.h
+++ b/Services/Gateway/fleet_link.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <string>
+#include <unordered_map>
 
 #include "Services/Gateway/directory_sync.h"
 #include "Services/Gateway/gateway_context.h"
@@ -32,7 +33,7 @@
       std::chrono::milliseconds(200);
   // Lists of known hosts travel with a steward's digests this often, and to
   // other zones, where a host counts as live for several of them.
-  static constexpr Duration kPeerListInterval = std::chrono::milliseconds(600);
+  static constexpr Duration kPeerListInterval = std::chrono::seconds(1);
   static constexpr Duration kOtherZonesPeersInterval = std::chrono::seconds(1);
   // Hosts that registered at the store or stand in the settings are told of the
   // own existence, silent ones again and again; more often after the start.
@@ -58,6 +59,10 @@
   boost::asio::awaitable<void> SendToOtherZones();
   boost::asio::awaitable<void> Introduce();
   boost::asio::awaitable<void> SendPeersToOtherZones();
+  // What is known of a service's servers in the own zone; of a service with
+  // more servers than fit in a digest, the next ones in turn.
+  std::vector<ServerObservation> NextObservations(const ServiceId& service,
+                                                  TimePoint now);
   // How recent the copies of the host that reads the store are.
   void TellOtherStewards(FleetDigest digest, TimePoint now);
   // A newly heard host learns at once who lives in the own zone and in its own.
@@ -82,6 +87,7 @@
   TimePoint sent_at_{};
   std::vector<TableFreshness> tables_sent_;
   TimePoint news_sent_at_{};
+  std::unordered_map<ServiceId, std::size_t> told_servers_;
 };
 
 }  // namespace dogwood
--- a/Tests/Libraries/Balancing/server_table_test.cc
+++ b/Tests/Libraries/Balancing/server_table_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <set>
 
 #include "Tests/Libraries/Balancing/balancing_fixture.h"
 
@@ -194,6 +195,33 @@
   CHECK(fixture.Choose(kStart, upload) == "near");
 }
 
+// Guards against services whose later servers are never told of, so that hosts
+// go on sending to one that crashed.
+TEST_CASE("News beyond a digest follow, unusable servers come first") {
+  constexpr int kServers = 10;
+  Fixture fixture;
+  std::vector<ServerEntry> entries;
+  for (int i = 0; i < kServers; ++i)
+    entries.push_back(MakeServer("server-" + std::to_string(i)));
+  fixture.table.Replace(entries, kStart);
+  std::set<ServerKey> told;
+  for (int round = 0; round < 4; ++round) {
+    const TimePoint now = kStart + round * 300ms;
+    for (const ServerEntry& entry : entries)
+      ReportIdle(fixture.table, entry.id.value(), now);
+    for (const auto& news : fixture.table.TakeNews(3, now))
+      told.insert(news.server);
+  }
+  CHECK(told.size() == kServers);
+  const ServerKey crashed = KeyOf(ServerId("server-4"));
+  for (const ServerEntry& entry : entries)
+    ReportIdle(fixture.table, entry.id.value(), kStart + 2s);
+  fixture.table.OnUnreachable(crashed, kStart + 2s);
+  const auto news = fixture.table.TakeNews(1, kStart + 2s);
+  REQUIRE(news.size() == 1);
+  CHECK(news[0].server == crashed);
+}
+
 // Guards against uploads that are lost one after the other at a server of the
 // own zone that resets part of what it accepts (incident 54e8).
 TEST_CASE(
