--- a/Services/Gateway/directory_sync.cc
+++ b/Services/Gateway/directory_sync.cc
@@ -6,14 +6,13 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <nlohmann/json.hpp>
 
 #include "Libraries/Routing/rendezvous.h"
+#include "Services/Gateway/table_codec.h"
 
 namespace dogwood {
 
 namespace asio = boost::asio;
-using Json = nlohmann::json;
 using platform::StoreRow;
 using platform::StoreRows;
 using platform::StoreVersion;
@@ -27,8 +26,6 @@
 // A configuration of a thousand routes passes over a link of 10 Mbit/s that
 // callers use as well in this time.
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(1000);
-// A copied table is refused above this size: the store's rows are smaller.
-constexpr std::size_t kMostTableBytes = std::size_t{16} << 20U;
 // How often a host looks whether it has to read by itself.
 constexpr Duration kLook = std::chrono::milliseconds(100);
 // A whole table comes from the store in this time, or the call counts as lost.
@@ -42,51 +39,6 @@
   co_await timer.async_wait(kUseTuple);
 }
 
-std::string EncodeRows(const StoreRows& rows, bool is_whole) {
-  Json list = Json::array();
-  for (const StoreRow& row : rows.rows) {
-    Json item = Json::array({row.key, row.version.value()});
-    if (row.value)
-      item.push_back(Json::binary({row.value->begin(), row.value->end()}));
-    list.push_back(std::move(item));
-  }
-  const auto bytes = Json::to_cbor(
-      Json::array({rows.as_of.value(), is_whole, std::move(list)}));
-  return Compress({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
-}
-
-struct PeerRows {
-  StoreRows rows;
-  bool is_whole = false;
-};
-
-Result<PeerRows> DecodeRows(const std::string& compressed) {
-  TRY_ASSIGN(const std::string bytes, Decompress(compressed, kMostTableBytes));
-  // The JSON library reports wrong types, and sizes beyond its limit, by
-  // exceptions only.
-  try {
-    const Json root = Json::from_cbor(bytes, /*strict=*/true,
-                                      /*allow_exceptions=*/false);
-    PeerRows decoded;
-    decoded.rows.as_of = StoreVersion(root.at(0).get<std::uint64_t>());
-    decoded.is_whole = root.at(1).get<bool>();
-    for (const Json& item : root.at(2)) {
-      StoreRow row;
-      row.key = item.at(0).get<std::string>();
-      row.version = StoreVersion(item.at(1).get<std::uint64_t>());
-      if (item.size() > 2) {
-        const auto& value = item.at(2).get_binary();
-        row.value.emplace(value.begin(), value.end());
-      }
-      decoded.rows.rows.push_back(std::move(row));
-    }
-    return decoded;
-  } catch (const Json::exception& exception) {
-    return Fail(ErrorCode::kProtocol,
-                std::string("copied table: ") + exception.what());
-  }
-}
-
 }  // namespace
 
 DirectorySync::DirectorySync(GatewayContext& context)
@@ -275,7 +227,7 @@
   const auto response = co_await client.Send(std::move(request), kPeerTimeout);
   followed.is_copying = false;
   if (!response || response.value().status != 200) co_return;
-  const auto decoded = DecodeRows(response.value().body);
+  const auto decoded = DecodeTable(response.value().body);
   if (!decoded) {
     const std::string error = decoded.error().ToString();
     context_.log->Record(EventId::kPeerUnreadable,
@@ -324,8 +276,8 @@
       encoded.version != version) {
     const auto changes = followed.copy.ChangesAfter(after);
     encoded = {after, version,
-               changes ? EncodeRows(*changes, /*is_whole=*/false)
-                       : EncodeRows(followed.copy.All(), /*is_whole=*/true)};
+               changes ? EncodeTable({*changes, /*is_whole=*/false})
+                       : EncodeTable({followed.copy.All(), /*is_whole=*/true})};
   }
   return encoded.bytes;
 }
--- a/Services/Gateway/request_relay.h
+++ b/Services/Gateway/request_relay.h
@@ -14,6 +14,8 @@
 // backend server, hands the request over and repeats it where that is allowed.
 class RequestRelay {
  public:
+  // A request without a deadline of its own is given up after this long.
+  static constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
   // Until a backend server accepts a connection; twice the time of a lost
   // opening packet is too long to wait for.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
