--- a/Tests/Libraries/Http/compression_test.cc
+++ b/Tests/Libraries/Http/compression_test.cc
@@ -22,9 +22,8 @@
   std::mt19937 random(5);
   std::string noise(5000, '\0');
   for (char& byte : noise) byte = static_cast<char>(random());
-  for (const std::string& bytes :
-       {std::string(), std::string("x"), noise, Routes(2000),
-        std::string(1000000, 'a')}) {
+  for (const std::string& bytes : {std::string(), std::string("x"), noise,
+                                   Routes(2000), std::string(1000000, 'a')}) {
     const auto back = Decompress(Compress(bytes), kMostBytes);
     REQUIRE(back.has_value());
     CHECK(back.value() == bytes);
