--- a/Tests/Libraries/Balancing/server_table_test.cc
+++ b/Tests/Libraries/Balancing/server_table_test.cc
@@ -201,6 +201,7 @@
   constexpr int kServers = 10;
   Fixture fixture;
   std::vector<ServerEntry> entries;
+  entries.reserve(kServers);
   for (int i = 0; i < kServers; ++i)
     entries.push_back(MakeServer("server-" + std::to_string(i)));
   fixture.table.Replace(entries, kStart);
