Tests: Reserve the soak's loopback addresses

One is "4-1", the first id of a soak, at a backend server of another one: both had drawn the block 127.251.0 from their process numbers modulo 250, so callers of one reached the gateways of the other. Change: a block is locked by a listening socket before it is used. Ruled out: a mix-up in a gateway, which never makes up ids. The logs of the colliding soak were not kept, so the collision is concluded from the ids.

--- a/Tests/Soak/soak_world.cc
+++ b/Tests/Soak/soak_world.cc
@@ -39,7 +39,10 @@
 }  // namespace
 
 SoakWorld::SoakWorld(SoakOptions options)
-    : options_(std::move(options)), random_(options_.seed), store_(io_) {
+    : options_(std::move(options)),
+      random_(options_.seed),
+      store_(io_),
+      block_lock_(io_) {
   PutPolicy();
   for (int i = 0; i < options_.servers; ++i) {
     servers_.push_back(std::make_unique<ScriptedBackend>(
@@ -53,9 +56,7 @@
     draining_from_.push_back({});
     PutServer(i, "ready");
   }
-  // A part of loopback that no other test uses, and in it one of this process.
-  const std::string contact =
-      "127.251." + std::to_string(::getpid() % 250) + ".";
+  const std::string contact = ReserveAddresses();
   for (int i = 0; i < options_.hosts; ++i) {
     store_links_.push_back(
         std::make_unique<FaultProxy>(io_, store_.endpoint()));
@@ -66,6 +67,26 @@
   }
 }
 
+std::string SoakWorld::ReserveAddresses() {
+  // A part of loopback that no other test uses; soaks that run side by side
+  // must not share a block, or they reach each other's gateways.
+  constexpr int kBlocks = 250;
+  for (int i = 0; i < kBlocks; ++i) {
+    const std::string prefix =
+        "127.251." + std::to_string((::getpid() + i) % kBlocks) + ".";
+    const asio::ip::tcp::endpoint lock(asio::ip::make_address(prefix + "254"),
+                                       HostProcess::kCallersPort);
+    boost::system::error_code error;
+    block_lock_.open(lock.protocol(), error);
+    if (!error) block_lock_.bind(lock, error);
+    if (!error) block_lock_.listen(1, error);
+    if (!error) return prefix;
+    block_lock_.close(error);
+  }
+  VERIFY(false);  // 250 soaks at once
+  return "";
+}
+
 int SoakWorld::Draw(int below) {
   return std::uniform_int_distribution<int>(0, below - 1)(random_);
 }
--- a/Tests/Soak/soak_world.h
+++ b/Tests/Soak/soak_world.h
@@ -76,6 +76,8 @@
   boost::asio::awaitable<void> KeepHostsRunning();
   boost::asio::awaitable<void> AwaitEnd(HostProcess& host);
   ScriptedAnswer AnswerOf(int server, const SeenRequest& request);
+  // Reserves a block of loopback addresses and returns its prefix.
+  std::string ReserveAddresses();
   void PutPolicy();
   void PutServer(int server, const std::string& state);
   void Note(const std::string& text) const;
@@ -87,6 +89,8 @@
   std::mt19937_64 random_;
   SoakLedger ledger_;
   StoreService store_;
+  // Held while this process uses its block of addresses.
+  boost::asio::ip::tcp::acceptor block_lock_;
   std::vector<std::unique_ptr<ScriptedBackend>> servers_;
   std::vector<std::unique_ptr<FaultProxy>> server_links_;
   std::vector<std::unique_ptr<FaultProxy>> store_links_;
