--- a/Tests/Soak/soak_world.cc
+++ b/Tests/Soak/soak_world.cc
@@ -72,7 +72,7 @@
   // must not share a block, or they reach each other's gateways.
   constexpr int kBlocks = 250;
   for (int i = 0; i < kBlocks; ++i) {
-    const std::string prefix =
+    std::string prefix =
         "127.251." + std::to_string((::getpid() + i) % kBlocks) + ".";
     const asio::ip::tcp::endpoint lock(asio::ip::make_address(prefix + "254"),
                                        HostProcess::kCallersPort);
