Gateway: Log a fingerprint that is equal for resends of a request

Events 2202 and 2203 named only the request id, which changes with each send, so failures at several hosts could not be told to belong to one request. Both now have the hash of method, host, target and body. The hash function is the one that dogwood-entry used; it moves to Libraries/Routing.

With it, a reproduction on two hosts shows one fingerprint with a lost connection at ever more servers, also in sends whose retry the budget refused: what is missing is a memory across sends and hosts, not a smaller budget. No decision changes.

--- a/Libraries/Routing/routing.h
+++ b/Libraries/Routing/routing.h
@@ -7,6 +7,7 @@
 #include "Libraries/Routing/connection_limit.h"
 #include "Libraries/Routing/poison_request_detector.h"
 #include "Libraries/Routing/probe_rate_limiter.h"
+#include "Libraries/Routing/request_fingerprint.h"
 #include "Libraries/Routing/retry_budget.h"
 #include "Libraries/Routing/router_types.h"
 #include "Libraries/Routing/service_router.h"
--- a/Services/Entry/request_parameters.cc
+++ b/Services/Entry/request_parameters.cc
@@ -1,16 +1,15 @@
 #include "Services/Entry/request_parameters.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <optional>
 
+#include "Libraries/Routing/request_fingerprint.h"
+
 namespace dogwood {
 namespace {
 
-constexpr std::size_t kMaxFingerprintBodyBytes = 4096;
-constexpr std::uint64_t kHashMultiplier = 31;
 constexpr std::size_t kMinIdempotencyKeyLength = 16;
 constexpr std::size_t kMaxIdempotencyKeyLength = 64;
 // One day. Keeps the deadline arithmetic far from overflow.
@@ -165,21 +164,13 @@
 std::uint64_t ComputeFingerprint(const RequestAttributes& attributes,
                                  const MessageHead& head,
                                  std::string_view body) {
-  std::uint64_t hash = 0;
-  // The length of each part is hashed as well, so that moving a byte from one
-  // part to the next changes the hash.
-  const auto add_part = [&hash](std::string_view part) {
-    hash = XXH3_64bits_withSeed(part.data(), part.size(),
-                                hash * kHashMultiplier + part.size());
-  };
-  add_part(attributes.client_account.value());
-  add_part(attributes.service.value());
-  add_part(head.method);
-  add_part(head.target);
-  add_part(attributes.idempotency_key
-               ? std::string_view(*attributes.idempotency_key)
-               : body.substr(0, kMaxFingerprintBodyBytes));
-  return hash;
+  const std::array<std::string_view, 4> identity = {
+      attributes.client_account.value(), attributes.service.value(),
+      head.method, head.target};
+  return ComputeRequestFingerprint(
+      identity, attributes.idempotency_key
+                    ? std::string_view(*attributes.idempotency_key)
+                    : body);
 }
 
 }  // namespace dogwood
--- a/Services/Gateway/request_forwarder.cc
+++ b/Services/Gateway/request_forwarder.cc
@@ -1,9 +1,11 @@
 #include "Services/Gateway/request_forwarder.h"
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Libraries/Routing/request_fingerprint.h"
 #include "Services/Gateway/disconnect_detection.h"
 #include "Services/Gateway/message_builder.h"
 #include "Services/Gateway/process_stall.h"
@@ -28,6 +30,14 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 
+// Does not include the caller's address, which may change between resends.
+std::uint64_t FingerprintOf(const CallerRequest& request) {
+  const MessageHead& head = request.head;
+  const std::array<std::string_view, 3> identity = {
+      head.method, head.FieldValue("host"), head.target};
+  return ComputeRequestFingerprint(identity, request.body);
+}
+
 }  // namespace
 
 RequestForwarder::RequestForwarder(GatewayContext& context,
@@ -81,7 +91,8 @@
                                  "no such route");
   }
   RequestState state{request, route_table, *route,
-                     SelectService(*route, context_.random_engine)};
+                     SelectService(*route, context_.random_engine),
+                     FingerprintOf(request)};
   Duration timeout = request.caller_headers.timeout.value_or(kDefaultTimeout);
   if (route->timeout)
     timeout = std::min(timeout, *route->timeout - kResponseMargin);
@@ -391,6 +402,7 @@
   context_.log->Record(
       EventId::kRequestRetried,
       {{"request", state.request.caller_headers.id.value()},
+       {"fingerprint", static_cast<std::int64_t>(state.fingerprint)},
        {"reason", reason},
        {"attempts", static_cast<std::int64_t>(state.attempt_count)},
        {"allowance", retry_budget.credit()}});
--- a/Services/Gateway/request_forwarder.h
+++ b/Services/Gateway/request_forwarder.h
@@ -56,6 +56,7 @@
     std::shared_ptr<const RouteTable> route_table;
     const RouteConfiguration& route;
     const ServiceId& service;
+    std::uint64_t fingerprint = 0;  // equal for resends of the request
     // The caller's deadline or the route's timeout, whichever is earlier.
     TimePoint deadline{};
     unsigned attempt_count = 0;  // backend servers that were sent the request
--- a/Services/Gateway/request_forwarder_responses.cc
+++ b/Services/Gateway/request_forwarder_responses.cc
@@ -131,6 +131,7 @@
   context_.log->Record(
       event,
       {{"request", request.caller_headers.id.value()},
+       {"fingerprint", static_cast<std::int64_t>(state.fingerprint)},
        {"service", state.service.value()},
        {"server", server == nullptr
                       ? std::string_view("gone")
