Gateway: Refuse requests that crash the servers which run them

Cause: no host remembered which request was running when a server ended. Ruled out: the size of the retry budget and the number of attempts; with the fingerprint in the log, sends whose retry was refused still ended a server.

Each host now tracks its attempts in the detector that dogwood-entry used (Libraries/Routing). When a request is lost without a response, the host connects to the server; only a server that doesn't accept has crashed, so resets and lost answers count for nothing. After two attributed crashes all hosts refuse the fingerprint at once, with 503 and the time that is left. Records are sent at once and repeated by gossip relays with their age, so that hosts don't extend a refusal by telling each other of it.

--- a/Libraries/Balancing/peer_message.cc
+++ b/Libraries/Balancing/peer_message.cc
@@ -154,6 +154,16 @@
   out.push_back(cancellation.request_number);
 }
 
+void Append(Json& out, const SuspectMessage& message) {
+  Json records = Json::array();
+  for (const SuspectRecord& record : message.records) {
+    records.push_back(
+        Json::array({record.fingerprint, record.crashes[0], record.crashes[1],
+                     record.is_cleared, ToMillisecondCount(record.age)}));
+  }
+  out.push_back(std::move(records));
+}
+
 GossipMessage ParseGossipMessage(const Json& root) {
   GossipMessage gossip;
   gossip.sender = ParsePeerRecord(root.at(2));
@@ -209,6 +219,18 @@
   return completion;
 }
 
+SuspectMessage ParseSuspectMessage(const Json& root) {
+  SuspectMessage message;
+  for (const Json& item : root.at(2)) {
+    message.records.push_back(
+        {item.at(0).get<std::uint64_t>(),
+         {item.at(1).get<std::uint64_t>(), item.at(2).get<std::uint64_t>()},
+         item.at(3).get<bool>(),
+         FromMilliseconds(item.at(4))});
+  }
+  return message;
+}
+
 Result<PeerMessage> ParseMessage(const Json& root) {
   switch (root.at(1).get<std::size_t>()) {
     case 0:
@@ -221,6 +243,8 @@
       return ParseSelectionCompletion(root);
     case 4:
       return SelectionCancellation{root.at(2).get<std::uint64_t>()};
+    case 5:
+      return ParseSuspectMessage(root);
     default:
       return Fail(ErrorCode::kProtocol, "unknown message kind");
   }
--- a/Libraries/Balancing/peer_message.h
+++ b/Libraries/Balancing/peer_message.h
@@ -9,6 +9,7 @@
 
 #include "Libraries/Balancing/dispatcher.h"
 #include "Libraries/Balancing/gossip_message.h"
+#include "Libraries/Routing/poison_request_detector.h"
 
 namespace dogwood {
 
@@ -53,9 +54,14 @@
   std::uint64_t request_number = 0;
 };
 
+// Requests suspected of crashing backend servers.
+struct SuspectMessage {
+  std::vector<SuspectRecord> records;
+};
+
 using PeerMessage =
     std::variant<GossipMessage, SelectionRequest, SelectionResponse,
-                 SelectionCompletion, SelectionCancellation>;
+                 SelectionCompletion, SelectionCancellation, SuspectMessage>;
 
 std::vector<std::uint8_t> EncodePeerMessage(const PeerMessage& message);
 
--- a/Libraries/Observe/event_catalogue.cc
+++ b/Libraries/Observe/event_catalogue.cc
@@ -65,6 +65,10 @@
      "A request matches no route of the configuration in force."},
     {EventId::kCallerDisconnected, kInfo, "request-abandoned",
      "The caller disconnected before its response."},
+    {EventId::kRequestSuspected, kWarning, "request-suspected",
+     "A backend server crashed while it ran the request with this "
+     "`fingerprint`, or the request succeeded and `is_cleared`; `is_refused` "
+     "tells whether hosts refuse it from now on."},
     {EventId::kServerUnusable, kWarning, "server-unusable",
      "A backend server temporarily gets no requests; `reason` states why."},
     {EventId::kServerAdded, kInfo, "server-added",
--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -37,6 +37,7 @@
   kRequestRetried = 2203,
   kRequestWithoutRoute = 2204,
   kCallerDisconnected = 2205,
+  kRequestSuspected = 2206,
   kServerUnusable = 3000,
   kServerAdded = 3001,
   kServerRemoved = 3002,
--- a/Libraries/Routing/poison_request_detector.cc
+++ b/Libraries/Routing/poison_request_detector.cc
@@ -117,21 +117,25 @@
   entries_.erase(oldest);
 }
 
-void PoisonRequestDetector::Merge(const SuspectRecord& record, TimePoint now) {
+bool PoisonRequestDetector::Merge(const SuspectRecord& record, TimePoint now) {
   if (record.is_cleared) {
     const auto found = entries_.find(record.fingerprint);
-    if (found != entries_.end() && found->second.crashes[1] == 0) {
-      entries_.erase(found);
-    }
-    return;
+    if (found == entries_.end() || found->second.crashes[1] != 0) return false;
+    entries_.erase(found);
+    return true;
   }
+  if (record.age >= kRefusalDuration) return false;
   EvictEntries(now);
   Entry& entry = entries_[record.fingerprint];
   bool has_changed = false;
   for (const std::uint64_t crash : record.crashes) {
     has_changed |= AddCrash(entry, crash);
   }
-  if (has_changed) entry.last_attributed_at = now;
+  if (has_changed) {
+    entry.last_attributed_at =
+        std::max(entry.last_attributed_at, now - record.age);
+  }
+  return has_changed;
 }
 
 bool PoisonRequestDetector::is_suspect(std::uint64_t fingerprint,
@@ -148,10 +152,20 @@
          now - found->second.last_attributed_at <= kRefusalDuration;
 }
 
-PoisonRequestDetector::Records PoisonRequestDetector::All() const {
+Duration PoisonRequestDetector::RefusalTimeLeft(std::uint64_t fingerprint,
+                                                TimePoint now) const {
+  if (!is_refused(fingerprint, now)) return Duration::zero();
+  return kRefusalDuration - (now - entries_.at(fingerprint).last_attributed_at);
+}
+
+PoisonRequestDetector::Records PoisonRequestDetector::Refused(
+    TimePoint now) const {
   Records records;
   for (const auto& [fingerprint, entry] : entries_) {
-    records.push_back({.fingerprint = fingerprint, .crashes = entry.crashes});
+    if (!is_refused(fingerprint, now)) continue;
+    records.push_back({.fingerprint = fingerprint,
+                       .crashes = entry.crashes,
+                       .age = now - entry.last_attributed_at});
   }
   return records;
 }
--- a/Libraries/Routing/poison_request_detector.h
+++ b/Libraries/Routing/poison_request_detector.h
@@ -16,6 +16,7 @@
   std::uint64_t fingerprint = 0;
   std::array<std::uint64_t, 2> crashes{};  // crash identifiers; 0: none
   bool is_cleared = false;
+  Duration age{};  // since the last crash was attributed
 
   friend bool operator==(const SuspectRecord&, const SuspectRecord&) = default;
 };
@@ -49,13 +50,16 @@
   // last one known before the crash, which is equal on all hosts, or empty.
   void OnCrash(const ServerId& server, const std::string& start_id,
                TimePoint now, Records& changes);
-  void Merge(const SuspectRecord& record, TimePoint now);
+  // Returns whether the record was news to this host.
+  bool Merge(const SuspectRecord& record, TimePoint now);
 
   bool is_suspect(std::uint64_t fingerprint, TimePoint now) const;
   bool is_refused(std::uint64_t fingerprint, TimePoint now) const;
+  // Time until the fingerprint is accepted again; zero if it is not refused.
+  Duration RefusalTimeLeft(std::uint64_t fingerprint, TimePoint now) const;
   std::size_t size() const { return entries_.size(); }
-  // Returns all attributed crashes, for a host that joins the fleet.
-  Records All() const;
+  // Returns the records of all refused fingerprints.
+  Records Refused(TimePoint now) const;
 
  private:
   struct Entry {
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -50,10 +50,14 @@
           [this](const std::string& ip, const PeerMessage& message) {
             messenger_.Send(ip, message);
           }),
-      messenger_(context_, replicator_, server_selector_,
+      poison_request_guard_(context_,
+                            [this](const PoisonRequestGuard::Records& records) {
+                              messenger_.ShareSuspects(records);
+                            }),
+      messenger_(context_, replicator_, server_selector_, poison_request_guard_,
                  IncarnationFromStartTime()),
       health_checker_(context_),
-      request_forwarder_(context_, server_selector_),
+      request_forwarder_(context_, server_selector_, poison_request_guard_),
       acceptor_(io_context),
       stop_signals_(io_context, SIGTERM, SIGINT),
       reload_signals_(io_context, SIGHUP) {}
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -65,6 +65,7 @@
   std::string settings_text_;  // as last read from the file
   ConfigurationReplicator replicator_;
   ServerSelector server_selector_;
+  PoisonRequestGuard poison_request_guard_;
   PeerMessenger messenger_;
   HealthChecker health_checker_;
   RequestForwarder request_forwarder_;
--- a/Services/Gateway/gateway_metrics.h
+++ b/Services/Gateway/gateway_metrics.h
@@ -13,6 +13,8 @@
                                                       "outcome=\"refused\"")),
         requests_failed(registry.FindOrCreateCounter("dogwood_requests_total",
                                                      "outcome=\"failed\"")),
+        crashing_requests_refused(registry.FindOrCreateCounter(
+            "dogwood_crashing_requests_refused_total")),
         requests_abandoned_by_caller(registry.FindOrCreateCounter(
             "dogwood_requests_total", "outcome=\"caller-left\"")),
         retries(registry.FindOrCreateCounter("dogwood_repeats_total")),
@@ -37,6 +39,8 @@
             registry.FindOrCreateGauge("dogwood_store_age_milliseconds")),
         live_hosts(registry.FindOrCreateGauge("dogwood_live_hosts")),
         usable_servers(registry.FindOrCreateGauge("dogwood_usable_servers")),
+        refused_fingerprints(
+            registry.FindOrCreateGauge("dogwood_refused_fingerprints")),
         request_duration(
             registry.FindOrCreateHistogram("dogwood_request_seconds")),
         selection_wait_duration(
@@ -45,6 +49,7 @@
   Counter& requests_served;
   Counter& requests_refused;
   Counter& requests_failed;
+  Counter& crashing_requests_refused;
   Counter& requests_abandoned_by_caller;
   Counter& retries;
   Counter& backend_connections_opened;
@@ -59,6 +64,7 @@
   Gauge& store_age_ms;
   Gauge& live_hosts;
   Gauge& usable_servers;
+  Gauge& refused_fingerprints;  // of requests that crash servers
   LatencyHistogram& request_duration;
   LatencyHistogram& selection_wait_duration;
 };
--- a/Services/Gateway/peer_messenger.cc
+++ b/Services/Gateway/peer_messenger.cc
@@ -29,10 +29,12 @@
 PeerMessenger::PeerMessenger(GatewayContext& context,
                              ConfigurationReplicator& replicator,
                              ServerSelector& server_selector,
+                             PoisonRequestGuard& poison_request_guard,
                              Incarnation incarnation)
     : context_(context),
       replicator_(replicator),
       server_selector_(server_selector),
+      poison_request_guard_(poison_request_guard),
       incarnation_(incarnation),
       socket_(context.io_context),
       candidates_(context.settings.zone),
@@ -59,6 +61,7 @@
   asio::co_spawn(context_.io_context, RunCrossZoneObservations(),
                  asio::detached);
   asio::co_spawn(context_.io_context, RunCrossZoneMembership(), asio::detached);
+  asio::co_spawn(context_.io_context, RunSuspectGossip(), asio::detached);
   asio::co_spawn(context_.io_context, SendHellos(), asio::detached);
   asio::co_spawn(context_.io_context, discovery_.Run(), asio::detached);
   return outcome::success();
@@ -191,6 +194,46 @@
   }
 }
 
+asio::awaitable<void> PeerMessenger::RunSuspectGossip() {
+  asio::steady_timer timer(context_.io_context);
+  for (;;) {
+    timer.expires_after(kSuspectInterval);
+    co_await timer.async_wait(kUseAwaitableTuple);
+    const TimePoint now = MonotonicNow();
+    if (context_.peer_table.is_gossip_relay(now))
+      ShareSuspects(poison_request_guard_.Refused(now));
+  }
+}
+
+void PeerMessenger::ShareSuspects(const PoisonRequestGuard::Records& records) {
+  const TimePoint now = MonotonicNow();
+  // Keeps each message below the maximum datagram size.
+  constexpr std::size_t kMaxRecordsPerMessage = 500;
+  for (std::size_t first = 0; first < records.size();
+       first += kMaxRecordsPerMessage) {
+    const std::size_t end =
+        std::min(records.size(), first + kMaxRecordsPerMessage);
+    const SuspectMessage message{
+        {records.begin() + static_cast<std::ptrdiff_t>(first),
+         records.begin() + static_cast<std::ptrdiff_t>(end)}};
+    const auto bytes = EncodePeerMessage(message);
+    for (const std::string& ip :
+         context_.peer_table.ReachablePeersInOwnZone(now))
+      SendDatagram(ip, bytes);
+    if (!context_.peer_table.is_gossip_relay(now)) continue;
+    for (const std::string& ip :
+         context_.peer_table.GossipRelaysOfOtherZones(now))
+      SendDatagram(ip, bytes);
+  }
+}
+
+void PeerMessenger::HandleSuspects(const SuspectMessage& message) {
+  const TimePoint now = MonotonicNow();
+  const auto news = poison_request_guard_.Merge(message.records, now);
+  // Zones that cannot reach each other learn of the records through a third.
+  if (context_.peer_table.is_gossip_relay(now)) ShareSuspects(news);
+}
+
 asio::awaitable<void> PeerMessenger::SendHellos() {
   asio::steady_timer timer(context_.io_context);
   for (int round = 0;; ++round) {
@@ -273,6 +316,8 @@
   } else if (const auto* cancellation =
                  std::get_if<SelectionCancellation>(&message)) {
     server_selector_.OnSelectionCancelled(ip, *cancellation);
+  } else if (const auto* suspects = std::get_if<SuspectMessage>(&message)) {
+    HandleSuspects(*suspects);
   }
 }
 
--- a/Services/Gateway/peer_messenger.h
+++ b/Services/Gateway/peer_messenger.h
@@ -9,6 +9,7 @@
 #include "Services/Gateway/configuration_replicator.h"
 #include "Services/Gateway/gateway_context.h"
 #include "Services/Gateway/peer_discovery.h"
+#include "Services/Gateway/poison_request_guard.h"
 #include "Services/Gateway/server_selector.h"
 
 namespace dogwood {
@@ -45,6 +46,8 @@
   static constexpr Duration kMembershipInterval = std::chrono::seconds(1);
   static constexpr Duration kCrossZoneMembershipInterval =
       std::chrono::seconds(1);
+  // Between repetitions of the refused requests by a gossip relay.
+  static constexpr Duration kSuspectInterval = std::chrono::seconds(1);
   // Between hellos (gossip messages) to candidates, which are hosts named in
   // the settings or registered in the store, and to known hosts that are
   // silent. The interval is shorter during the first rounds after the start.
@@ -56,13 +59,18 @@
   static constexpr std::size_t kMaxObservations = 400;
 
   PeerMessenger(GatewayContext& context, ConfigurationReplicator& replicator,
-                ServerSelector& server_selector, Incarnation incarnation);
+                ServerSelector& server_selector,
+                PoisonRequestGuard& poison_request_guard,
+                Incarnation incarnation);
 
   // Binds the UDP port and starts all periodic tasks. Fails with kIo when the
   // port is in use.
   Result<void> Start();
   // Messages that cannot be sent are dropped.
   void Send(const std::string& ip, const PeerMessage& message);
+  // Sends records of suspected requests to the own zone. A gossip relay also
+  // sends them to the other zones.
+  void ShareSuspects(const PoisonRequestGuard::Records& records);
   // Tells the zone's hosts that this host is shutting down.
   void AnnounceDraining();
 
@@ -74,6 +82,9 @@
   boost::asio::awaitable<void> RunCrossZoneObservations();
   boost::asio::awaitable<void> SendHellos();
   boost::asio::awaitable<void> RunCrossZoneMembership();
+  // Repeats the refused requests of a gossip relay, for hosts that have started
+  // or missed a message.
+  boost::asio::awaitable<void> RunSuspectGossip();
   // Observations of a service's servers in the own zone. Rotates through them
   // when there are more than kMaxObservations.
   std::vector<ServerObservation> NextObservationBatch(const ServiceId& service,
@@ -88,6 +99,7 @@
                                    TimePoint now);
   void HandleMessage(const std::string& ip, const PeerMessage& message);
   void HandleGossip(const GossipMessage& gossip);
+  void HandleSuspects(const SuspectMessage& message);
   // A gossip message with the sender and the table versions only.
   GossipMessage MakeGossip(TimePoint now) const;
   void SendDatagram(const std::string& ip,
@@ -96,6 +108,7 @@
   GatewayContext& context_;
   ConfigurationReplicator& replicator_;
   ServerSelector& server_selector_;
+  PoisonRequestGuard& poison_request_guard_;
   Incarnation incarnation_;
   boost::asio::ip::udp::socket socket_;
   std::array<std::uint8_t, kMaxDatagramBytes> receive_buffer_{};
--- a/Services/Gateway/request_forwarder.cc
+++ b/Services/Gateway/request_forwarder.cc
@@ -41,9 +41,11 @@
 }  // namespace
 
 RequestForwarder::RequestForwarder(GatewayContext& context,
-                                   ServerSelector& server_selector)
+                                   ServerSelector& server_selector,
+                                   PoisonRequestGuard& poison_request_guard)
     : context_(context),
       server_selector_(server_selector),
+      poison_request_guard_(poison_request_guard),
       connection_pool_(context.io_context.get_executor()) {}
 
 Duration RequestForwarder::TypicalServiceTime(const RouteConfiguration& route) {
@@ -154,6 +156,8 @@
     RequestState& state) {
   const CallerRequest& request = state.request;
   for (;;) {
+    if (poison_request_guard_.is_refused(state.fingerprint, MonotonicNow()))
+      co_return RejectCrashingRequest(state);
     DispatchRequest dispatch_request = MakeDispatchRequest(state);
     const std::uint64_t request_number = dispatch_request.request_number;
     ServerSelector::PendingSelection pending_selection(
@@ -247,6 +251,8 @@
   }
   ++state.attempt_count;
   attempt.was_sent = true;
+  PoisonRequestGuard::TrackedAttempt tracked_attempt(
+      poison_request_guard_, state.fingerprint, server_copy.registration);
   std::optional<ExchangeResult> result;
   if (state.route.retry_safety == RetrySafety::kRetryable) {
     const auto completed = co_await (
@@ -267,6 +273,7 @@
     attempt.outcome = attempt.is_caller_disconnected
                           ? AttemptOutcome::kAbandoned
                           : AttemptOutcome::kNoResponse;
+    tracked_attempt.End(attempt.outcome);
     co_return attempt;
   }
   if (*result == ExchangeResult::kNotSent) {
@@ -279,12 +286,14 @@
     attempt.outcome = *result == ExchangeResult::kConnectionLost
                           ? AttemptOutcome::kNoResponse
                           : AttemptOutcome::kFailed;
+    tracked_attempt.End(attempt.outcome);
     co_return attempt;
   }
   attempt.has_response = true;
   attempt.elapsed = now - started_at;
   attempt.connection = std::move(connection);
   attempt.outcome = ClassifyResponse(attempt, state, server_copy);
+  tracked_attempt.End(attempt.outcome);
   if (attempt.outcome == AttemptOutcome::kSucceeded)
     UpdateServiceTime(state.route, now - started_at, selection.slowdown);
   co_return attempt;
--- a/Services/Gateway/request_forwarder.h
+++ b/Services/Gateway/request_forwarder.h
@@ -5,6 +5,7 @@
 
 #include "Services/Gateway/caller_messages.h"
 #include "Services/Gateway/gateway_context.h"
+#include "Services/Gateway/poison_request_guard.h"
 #include "Services/Gateway/server_connection_pool.h"
 #include "Services/Gateway/server_selector.h"
 
@@ -41,7 +42,8 @@
   // is logged.
   static constexpr std::uint64_t kServedRequestsPerLogLine = 50;
 
-  RequestForwarder(GatewayContext& context, ServerSelector& server_selector);
+  RequestForwarder(GatewayContext& context, ServerSelector& server_selector,
+                   PoisonRequestGuard& poison_request_guard);
 
   boost::asio::awaitable<CallerResponse> Serve(const CallerRequest& request);
   void CloseExpiredConnections(TimePoint now) {
@@ -156,6 +158,7 @@
   CallerResponse RejectRequest(
       const RequestState& state, std::string_view reason,
       const std::optional<ServerSelection>& best_selection);
+  CallerResponse RejectCrashingRequest(const RequestState& state);
   void LogOutcome(const RequestState& state, const CallerResponse& response,
                   const ServerSelection& selection);
   // Moving average of the route's service time on backend servers that are not
@@ -166,6 +169,7 @@
 
   GatewayContext& context_;
   ServerSelector& server_selector_;
+  PoisonRequestGuard& poison_request_guard_;
   ServerConnectionPool connection_pool_;
   struct RouteStatistics {
     Duration service_time{};
--- a/Services/Gateway/request_forwarder_hedging.cc
+++ b/Services/Gateway/request_forwarder_hedging.cc
@@ -118,6 +118,7 @@
   const bool is_granted =
       decision && decision->admission == AdmissionDecision::kSend &&
       !hedge.has_first_attempt_ended &&
+      !poison_request_guard_.is_refused(state.fingerprint, MonotonicNow()) &&
       try_take_retry(state,
                      is_lost ? "the first attempt's backend server is lost"
                              : "the first attempt is slow",
--- a/Services/Gateway/request_forwarder_responses.cc
+++ b/Services/Gateway/request_forwarder_responses.cc
@@ -111,6 +111,30 @@
                             retry_after);
 }
 
+CallerResponse RequestForwarder::RejectCrashingRequest(
+    const RequestState& state) {
+  constexpr std::string_view kReason = "the request crashes backend servers";
+  const RequestId& id = state.request.caller_headers.id;
+  const Duration retry_after =
+      poison_request_guard_.RefusalTimeLeft(state.fingerprint, MonotonicNow());
+  context_.metrics.crashing_requests_refused.Add();
+  context_.metrics.requests_refused.Add();
+  context_.log->Record(
+      EventId::kRequestRefused,
+      {{"request", id.value()},
+       {"fingerprint", static_cast<std::int64_t>(state.fingerprint)},
+       {"service", state.service.value()},
+       {"reason", kReason},
+       {"attempts", static_cast<std::int64_t>(state.attempt_count)},
+       {"retry_after_ms", Milliseconds(retry_after)}});
+  if (state.may_have_run) {
+    return BuildLocalResponse(ResponseOutcome::kUnknown, kBadGateway, id,
+                              kReason);
+  }
+  return BuildLocalResponse(ResponseOutcome::kNotRun, kUnavailable, id, kReason,
+                            retry_after);
+}
+
 void RequestForwarder::LogOutcome(const RequestState& state,
                                   const CallerResponse& response,
                                   const ServerSelection& selection) {
--- a/Tests/Libraries/Balancing/peer_message_test.cc
+++ b/Tests/Libraries/Balancing/peer_message_test.cc
@@ -89,6 +89,15 @@
   CHECK(RoundTrip(SelectionCancellation{9}).request_number == 9);
 }
 
+TEST_CASE("Suspected requests are decoded as encoded") {
+  const SuspectRecord refused{18000000000000000000U, {3, 4}, false, 90s};
+  const SuspectRecord cleared{7, {}, true};
+  const SuspectMessage decoded = RoundTrip(SuspectMessage{{refused, cleared}});
+  REQUIRE(decoded.records.size() == 2);
+  CHECK(decoded.records[0] == refused);
+  CHECK(decoded.records[1] == cleared);
+}
+
 // Guards against malformed bytes from the network that terminate the process.
 TEST_CASE("Malformed messages do not terminate the process") {
   std::mt19937_64 random(5);
--- a/Tests/Libraries/Routing/poison_request_detector_test.cc
+++ b/Tests/Libraries/Routing/poison_request_detector_test.cc
@@ -82,6 +82,26 @@
   CHECK_FALSE(right.suspects.is_refused(1, now));
 }
 
+// Guards against hosts that extend a refusal by telling each other of it.
+TEST_CASE("A repeated record does not extend a refusal") {
+  Host left;
+  Host right;
+  TimePoint now{};
+  for (const ServerId& server : {kFirstServer, kSecondServer}) {
+    left.suspects.OnStart(server, 1, now);
+    left.LoseRequest(server, 1, now);
+    left.suspects.OnCrash(server, "start-1", now, left.changes);
+  }
+  now += seconds(3000);
+  REQUIRE(left.suspects.Refused(now).size() == 1);
+  CHECK(right.suspects.Merge(left.suspects.Refused(now)[0], now));
+  CHECK_FALSE(right.suspects.Merge(left.suspects.Refused(now)[0], now));
+  CHECK(right.suspects.RefusalTimeLeft(1, now) == seconds(600));
+  now += seconds(601);
+  CHECK_FALSE(right.suspects.is_refused(1, now));
+  CHECK(right.suspects.Refused(now).empty());
+}
+
 // Guards against ignoring a loss that is detected after the crash was
 // confirmed.
 TEST_CASE("A loss detected after the crash is attributed to it") {
--- a/Tests/Services/Gateway/gateway_fixture.h
+++ b/Tests/Services/Gateway/gateway_fixture.h
@@ -76,11 +76,14 @@
   // Starts a second host in the same availability zone, with the first one as
   // its seed. Later requests of the fixture go to the second host.
   void StartSecondHost() {
-    const std::string first = address_;
+    other_address_ = address_;
     address_ = UniqueLoopbackAddress();
-    gateways_.push_back(MakeGateway(address_, first));
+    gateways_.push_back(MakeGateway(address_, other_address_));
   }
 
+  // Sends later requests of the fixture to the other of two hosts.
+  void SwitchHost() { std::swap(address_, other_address_); }
+
   bool is_ready() {
     return SendRaw(kReadinessPort,
                    "GET /v1/readiness HTTP/1.1\r\nHost: a\r\nConnection: "
@@ -222,6 +225,7 @@
   std::vector<std::unique_ptr<ScriptedBackendServer>> backends_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::string address_;
+  std::string other_address_;  // of the other host once there are two
 };
 
 }  // namespace dogwood
--- a/Tests/StandIns/scripted_backend_server.cc
+++ b/Tests/StandIns/scripted_backend_server.cc
@@ -126,8 +126,28 @@
   }
 }
 
+void ScriptedBackendServer::Crash() {
+  const tcp::endpoint endpoint = acceptor_.local_endpoint();
+  acceptor_.close();
+  for (tcp::socket* socket : open_sockets_) {
+    boost::system::error_code ignored;
+    socket->set_option(asio::socket_base::linger(true, 0), ignored);
+    socket->close(ignored);
+  }
+  asio::co_spawn(io_, RestartAfterCrash(endpoint), asio::detached);
+}
+
+asio::awaitable<void> ScriptedBackendServer::RestartAfterCrash(
+    tcp::endpoint endpoint) {
+  asio::steady_timer timer(io_, kRestartDelay);
+  co_await timer.async_wait(kUseAwaitableTuple);
+  acceptor_ = tcp::acceptor(io_, endpoint);
+  co_await Accept();
+}
+
 asio::awaitable<void> ScriptedBackendServer::Serve(tcp::socket socket) {
   BufferedSocket source(std::move(socket));
+  open_sockets_.insert(&source.socket);
   MessageParser parser(MessageKind::kRequest);
   for (;;) {
     const auto request = co_await ReadRequest(source, parser);
@@ -152,7 +172,12 @@
       break;
     }
     if (response.connection_action == ConnectionAction::kClose) break;
+    if (response.connection_action == ConnectionAction::kCrash) {
+      Crash();
+      break;
+    }
   }
+  open_sockets_.erase(&source.socket);
   boost::system::error_code ignored;
   source.socket.close(ignored);
 }
--- a/Tests/StandIns/scripted_backend_server.h
+++ b/Tests/StandIns/scripted_backend_server.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,8 +22,9 @@
   std::string body;
 };
 
-// What happens to a connection after a response.
-enum class ConnectionAction { kKeep, kClose, kReset };
+// What happens to a connection after a response. kCrash resets all connections
+// of the server, which refuses new ones until it has restarted.
+enum class ConnectionAction { kKeep, kClose, kReset, kCrash };
 
 // The raw bytes of a response, and what to do with the connection afterwards.
 struct ScriptedResponse {
@@ -38,6 +40,9 @@
  public:
   using Script = std::function<ScriptedResponse(const ReceivedRequest&)>;
 
+  // How long a crashed server refuses connections.
+  static constexpr Duration kRestartDelay = std::chrono::milliseconds(500);
+
   ScriptedBackendServer(boost::asio::io_context& io, std::string id,
                         Script script);
 
@@ -68,11 +73,15 @@
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
   ScriptedResponse MakeResponse(const ReceivedRequest& request);
+  void Crash();
+  boost::asio::awaitable<void> RestartAfterCrash(
+      boost::asio::ip::tcp::endpoint endpoint);
 
   boost::asio::io_context& io_;
   std::string id_;
   Script script_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  std::set<boost::asio::ip::tcp::socket*> open_sockets_;
   std::vector<ReceivedRequest> received_requests_;
   Duration cold_left_{};
   Duration health_delay_{};
