Gateway: Keep refused requests in the store

The host that attributes the last crash writes the fingerprint, both crashes and their wall time; gossip relays read the table once after their start and tell the others. That is one write for each refused request and one read for each start of a relay, so the calls do not grow with the fleet. Expired rows and those of other writers are removed then.

Ruled out: reading the table with the replicated ones, which would add a long poll at the fleet reader for a table that is nearly always empty.

Tests (refused_request_store_test, 3 cases): a later host loads the record with its age, writes and reads wait for the store's return, odd and expired rows are removed. The state did not exist before, so they could not pass.

--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -52,8 +52,9 @@
           }),
       poison_request_guard_(context_,
                             [this](const PoisonRequestGuard::Records& records) {
-                              messenger_.ShareSuspects(records);
+                              ShareSuspects(records);
                             }),
+      refused_request_store_(context_, replicator_.store()),
       messenger_(context_, replicator_, server_selector_, poison_request_guard_,
                  IncarnationFromStartTime()),
       health_checker_(context_),
@@ -102,6 +103,11 @@
   }
   TRY(messenger_.Start());
   replicator_.Start();
+  refused_request_store_.Start(
+      [this](const PoisonRequestGuard::Records& records) {
+        messenger_.ShareSuspects(
+            poison_request_guard_.Merge(records, MonotonicNow()));
+      });
   health_checker_.Start();
   asio::co_spawn(io_context_, AcceptConnections(), asio::detached);
   asio::co_spawn(io_context_, RunSweep(), asio::detached);
@@ -139,6 +145,16 @@
   return response;
 }
 
+void Gateway::ShareSuspects(const PoisonRequestGuard::Records& records) {
+  messenger_.ShareSuspects(records);
+  const TimePoint now = MonotonicNow();
+  PoisonRequestGuard::Records refused = records;
+  std::erase_if(refused, [&](const SuspectRecord& record) {
+    return !poison_request_guard_.is_refused(record.fingerprint, now);
+  });
+  refused_request_store_.Save(refused);
+}
+
 asio::awaitable<void> Gateway::AcceptConnections() {
   for (;;) {
     auto [error, socket] = co_await acceptor_.async_accept(kUseAwaitableTuple);
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "Services/Gateway/configuration_replicator.h"
 #include "Services/Gateway/health_checker.h"
 #include "Services/Gateway/peer_messenger.h"
+#include "Services/Gateway/refused_request_store.h"
 #include "Services/Gateway/request_forwarder.h"
 #include "Services/Gateway/server_selector.h"
 
@@ -58,6 +59,8 @@
   HttpResponse HandleReadiness(const HttpRequest& request) const;
   HttpResponse HandleMetrics();
   void ReloadSettings();
+  // Tells the other hosts and the store of suspected requests.
+  void ShareSuspects(const PoisonRequestGuard::Records& records);
 
   boost::asio::io_context& io_context_;
   GatewayContext context_;
@@ -66,6 +69,7 @@
   ConfigurationReplicator replicator_;
   ServerSelector server_selector_;
   PoisonRequestGuard poison_request_guard_;
+  RefusedRequestStore refused_request_store_;
   PeerMessenger messenger_;
   HealthChecker health_checker_;
   RequestForwarder request_forwarder_;
--- a/Tests/StandIns/fake_store_server.cc
+++ b/Tests/StandIns/fake_store_server.cc
@@ -171,6 +171,10 @@
     Put(put.at("table").get<std::string>(), put.at("key").get<std::string>(),
         DecodeBase64(put.at("value").get<std::string>()));
   }
+  for (const Json& row : body.value("remove", Json::array())) {
+    Remove(row.at("table").get<std::string>(),
+           row.at("key").get<std::string>());
+  }
   return JsonResponse({{"ver", version_}, {"now", "1ms"}});
 }
 
