Balancing, Gateway: Keep to the limit that a backend server names

Cause: nothing read the header Server-Limit.

The limit is decoded in platform/, kept per server as ServerDirectives and passed with completions and gossip. Only the dispatcher of the server's zone uses it, from a token bucket that replaces the credit of cold servers and serves both. Health checks draw on it too. Admission counts only the slots that a limited server can fill. Hosts of the previous version ignore the new fields; they drop completions of responses with a limit but without a load report.

--- a/Libraries/Balancing/backend_server_state.h
+++ b/Libraries/Balancing/backend_server_state.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "Libraries/Balancing/routing_configuration.h"
+#include "Libraries/Balancing/token_bucket.h"
 
 namespace dogwood {
 
@@ -22,6 +23,16 @@
   kAbandoned,    // the caller disconnected or the deadline passed
 };
 
+// What a backend server's responses ask of its callers, for as long as they say
+// so.
+struct ServerDirectives {
+  // Requests that it takes from all hosts together; absent without a limit.
+  std::optional<double> max_requests_per_second;
+
+  friend bool operator==(const ServerDirectives&,
+                         const ServerDirectives&) = default;
+};
+
 // Gossiped snapshot of what one host knows of a backend server.
 struct ServerObservation {
   ServerKey server;
@@ -31,6 +42,7 @@
   Duration cold_left{};     // remaining warm-up time
   double failure_rate = 0;  // recent share of failed attempts
   bool is_unreachable = false;
+  ServerDirectives directives;
 };
 
 // Response that carried a load report.
@@ -66,8 +78,11 @@
   bool is_misdirected = false;  // a different server listens at the address
 
   TimePoint cold_until{};
-  double cold_credit = 0;  // requests that may be sent now while it is cold
-  TimePoint cold_credit_refilled_at{};
+  TokenBucket cold_requests;  // that may be sent now while it is cold
+
+  ServerDirectives directives;
+  TimePoint directives_reported_at{};
+  TokenBucket limited_requests;  // that may be sent now under its limit
 
   TimePoint last_heard_at{};            // last sign of life seen by any host
   bool has_unpublished_change = false;  // not yet gossiped
--- a/Libraries/Balancing/balancing.h
+++ b/Libraries/Balancing/balancing.h
@@ -15,3 +15,4 @@
 #include "Libraries/Balancing/routing_configuration.h"
 #include "Libraries/Balancing/server_table.h"
 #include "Libraries/Balancing/store_backoff.h"
+#include "Libraries/Balancing/token_bucket.h"
--- a/Libraries/Balancing/dispatcher.cc
+++ b/Libraries/Balancing/dispatcher.cc
@@ -90,7 +90,8 @@
   }
   input.queue_time = now - request.arrived_at;
   if (!pass.occupancy)
-    pass.occupancy = servers_.OccupancyOf(request.service, now);
+    pass.occupancy = servers_.OccupancyOf(request.service, now,
+                                          request.typical_service_time);
   input.occupancy = *pass.occupancy;
   input.queued_ahead = pass.queued_ahead;
   input.is_hedge = request.is_hedge;
--- a/Libraries/Balancing/peer_message.cc
+++ b/Libraries/Balancing/peer_message.cc
@@ -13,6 +13,8 @@
 constexpr int kFormatVersion = 4;
 // Encodes an unknown age.
 constexpr std::int64_t kUnknownAge = -1;  // milliseconds
+// Encodes that a backend server names no limit.
+constexpr double kNoRequestLimit = -1;  // requests per second
 // Identifier of nlohmann::json exceptions for values that are out of range.
 constexpr int kUnknownEnumeratorId = 501;
 
@@ -62,22 +64,33 @@
           item.at(5).get<unsigned>()};
 }
 
+// Limits are encoded as they are: hundredths would lose those of slow servers.
+Json ToJson(const ServerDirectives& directives) {
+  return directives.max_requests_per_second.value_or(kNoRequestLimit);
+}
+
+ServerDirectives ParseDirectives(const Json& item) {
+  const auto limit = item.get<double>();
+  if (!(limit >= 0)) return {};
+  return {limit};
+}
+
 Json ToJson(const ServerObservation& observation) {
   return Json::array(
       {observation.server.value(), observation.in_flight,
        ToHundredths(observation.slowdown), ToMillisecondCount(observation.age),
        ToMillisecondCount(observation.cold_left),
-       ToHundredths(observation.failure_rate), observation.is_unreachable});
+       ToHundredths(observation.failure_rate), observation.is_unreachable,
+       ToJson(observation.directives)});
 }
 
 ServerObservation ParseObservation(const Json& item) {
   return {ServerKey(item.at(0).get<std::uint32_t>()),
-          item.at(1).get<unsigned>(),
-          FromHundredths(item.at(2)),
-          FromMilliseconds(item.at(3)),
-          FromMilliseconds(item.at(4)),
-          FromHundredths(item.at(5)),
-          item.at(6).get<bool>()};
+          item.at(1).get<unsigned>(), FromHundredths(item.at(2)),
+          FromMilliseconds(item.at(3)), FromMilliseconds(item.at(4)),
+          FromHundredths(item.at(5)), item.at(6).get<bool>(),
+          // Hosts of the previous version do not send it.
+          item.size() > 7 ? ParseDirectives(item.at(7)) : ServerDirectives()};
 }
 
 Json ToJson(const ServerSelection& selection) {
@@ -144,10 +157,11 @@
                          static_cast<int>(completion.outcome),
                          ToHundredths(completion.service_time_ratio),
                          completion.was_above_knee});
-  if (completion.load) {
-    out.push_back(completion.load->in_flight);
-    out.push_back(ToHundredths(completion.load->slowdown));
-  }
+  if (!completion.load && !completion.directives) return;
+  out.push_back(completion.load ? Json(completion.load->in_flight) : Json());
+  out.push_back(completion.load ? Json(ToHundredths(completion.load->slowdown))
+                                : Json());
+  if (completion.directives) out.push_back(ToJson(*completion.directives));
 }
 
 void Append(Json& out, const SelectionCancellation& cancellation) {
@@ -212,10 +226,11 @@
   completion.outcome = ParseEnum(root.at(4), AttemptOutcome::kAbandoned);
   completion.service_time_ratio = FromHundredths(root.at(5));
   completion.was_above_knee = root.at(6).get<bool>();
-  if (root.size() > 8) {
+  if (root.size() > 8 && !root.at(7).is_null()) {
     completion.load =
         ReportedLoad{root.at(7).get<unsigned>(), FromHundredths(root.at(8))};
   }
+  if (root.size() > 9) completion.directives = ParseDirectives(root.at(9));
   return completion;
 }
 
--- a/Libraries/Balancing/peer_message.h
+++ b/Libraries/Balancing/peer_message.h
@@ -47,6 +47,8 @@
   // Service time relative to the one expected for the server; 0 when unknown.
   double service_time_ratio = 0;
   bool was_above_knee = false;
+  // From the backend server's response; absent if there was none.
+  std::optional<ServerDirectives> directives;
 };
 
 // Cancels a request for a backend server.
--- a/Libraries/Balancing/server_table.cc
+++ b/Libraries/Balancing/server_table.cc
@@ -81,21 +81,6 @@
          !evacuated_.contains(server.registration.zone);
 }
 
-bool ServerTable::try_refill_cold_credit(BackendServerState& server,
-                                         double rate, TimePoint now) const {
-  // Limits bursts beyond the steady rate to one request.
-  constexpr double kMaxColdCredit = 1;
-  if (server.cold_credit_refilled_at == TimePoint{})
-    server.cold_credit_refilled_at = now;
-  const double seconds =
-      std::chrono::duration<double>(now - server.cold_credit_refilled_at)
-          .count();
-  server.cold_credit_refilled_at = now;
-  server.cold_credit =
-      std::min(server.cold_credit + rate * seconds, kMaxColdCredit);
-  return server.cold_credit >= 1;
-}
-
 double ServerTable::EstimatedInFlight(const BackendServerState& server,
                                       TimePoint now) const {
   if (!server.load) return server.own_in_flight;
@@ -217,7 +202,9 @@
   BackendServerState* server = FindMutable(key);
   if (server == nullptr) return;
   ++server->own_in_flight;
-  if (server->cold_until > now) server->cold_credit -= 1;
+  if (server->cold_until > now) server->cold_requests.Take();
+  if (server->directives.max_requests_per_second)
+    server->limited_requests.Take();
 }
 
 void ServerTable::OnEnded(ServerKey key, AttemptOutcome outcome,
@@ -298,6 +285,32 @@
   average += kSlowdownWeight * (load.slowdown - average);
 }
 
+bool ServerTable::OnDirectives(ServerKey key,
+                               const ServerDirectives& directives,
+                               TimePoint now) {
+  BackendServerState* server = FindMutable(key);
+  if (server == nullptr) return false;
+  const bool was_limited =
+      server->directives.max_requests_per_second.has_value();
+  if (server->directives != directives) server->has_unpublished_change = true;
+  server->directives = directives;
+  server->directives_reported_at = now;
+  return was_limited != directives.max_requests_per_second.has_value();
+}
+
+void ServerTable::OnHealthCheckSent(ServerKey key) {
+  BackendServerState* server = FindMutable(key);
+  if (server != nullptr && server->directives.max_requests_per_second)
+    server->limited_requests.Take();
+}
+
+std::size_t ServerTable::LimitedServerCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(servers_.begin(), servers_.end(), [](const auto& item) {
+        return item.second->directives.max_requests_per_second.has_value();
+      }));
+}
+
 void ServerTable::Merge(const ServerObservation& observation, TimePoint now) {
   BackendServerState* server = FindMutable(observation.server);
   if (server == nullptr) return;
@@ -319,6 +332,11 @@
       server->needs_health_check = false;
     server->last_heard_at = std::max(server->last_heard_at, taken_at);
   }
+  if (server->directives_reported_at < taken_at &&
+      !observation.is_unreachable) {
+    server->directives = observation.directives;
+    server->directives_reported_at = taken_at;
+  }
   if (observation.failure_rate > FailureRate(*server, now)) {
     server->failure_rate = observation.failure_rate;
     server->failure_rate_updated_at = now;
@@ -337,6 +355,7 @@
   if (server.cold_until > now) observation.cold_left = server.cold_until - now;
   observation.failure_rate = FailureRate(server, now);
   observation.is_unreachable = server.needs_health_check;
+  observation.directives = server.directives;
   if (observation.is_unreachable)
     observation.age = now - server.needs_health_check_since;
   return observation;
@@ -398,7 +417,8 @@
 }
 
 ServerTable::Occupancy ServerTable::OccupancyOf(const ServiceId& service,
-                                                TimePoint now) const {
+                                                TimePoint now,
+                                                Duration service_time) const {
   // Servers up to this slowdown count as fast.
   constexpr double kFastSlowdown = 2;
   Occupancy occupancy;
@@ -407,7 +427,11 @@
   for (const BackendServerState* server : found->second.servers) {
     if (!is_usable(*server, now) || server->cold_until > now) continue;
     const double in_flight = EstimatedInFlight(*server, now);
-    const double slots = UsableSlots(*server, found->second);
+    double slots = UsableSlots(*server, found->second);
+    if (const auto limit = server->directives.max_requests_per_second) {
+      slots = std::min(
+          slots, *limit * std::chrono::duration<double>(service_time).count());
+    }
     occupancy.slots += slots;
     occupancy.in_flight += in_flight;
     if (EstimatedSlowdown(*server, found->second, now) > kFastSlowdown)
--- a/Libraries/Balancing/server_table.h
+++ b/Libraries/Balancing/server_table.h
@@ -63,6 +63,9 @@
       std::chrono::milliseconds(300);
   static constexpr Duration kMaxHealthCheckBackoff = std::chrono::seconds(2);
 
+  // Longest time for which unused requests of a limited server are kept.
+  static constexpr Duration kMaxLimitedBurst = std::chrono::milliseconds(250);
+
   explicit ServerTable(ZoneId own_zone) : own_zone_(std::move(own_zone)) {}
 
   // Replaces the registrations of all backend servers. A changed start time or
@@ -76,11 +79,11 @@
   void SetColdRequestRate(const ServiceId& service, double per_second);
 
   // Returns the best backend server with a free slot, or nullopt.
-  // `is_cold_use_allowed` decides whether this host may use the request rate of
-  // a cold server.
+  // `is_rate_use_allowed` decides whether this host may use the request rate of
+  // a cold or limited server.
   template <typename Predicate>
   std::optional<ServerSelection> SelectServer(const ServerSelectionQuery& query,
-                                              Predicate is_cold_use_allowed,
+                                              Predicate is_rate_use_allowed,
                                               Random& random, TimePoint now);
 
   void OnSent(ServerKey server, TimePoint now);
@@ -92,6 +95,12 @@
   // Applies a load report that this host has just received.
   void OnReport(ServerKey server, ReportSource source, ReportedLoad load,
                 std::optional<Duration> cold_left, TimePoint now);
+  // Applies what a response that this host has just received asks for. Returns
+  // whether a limit has begun or ended.
+  bool OnDirectives(ServerKey server, const ServerDirectives& directives,
+                    TimePoint now);
+  // Counts a health check towards the limit of the server.
+  void OnHealthCheckSent(ServerKey server);
   // Records the service time of an attempt relative to the expected one.
   void OnServiceTimeRatio(ServerKey server, double ratio, bool was_above_knee);
   // Merges an observation of another host. It is not forwarded: each dispatcher
@@ -117,7 +126,11 @@
     double fast_slots = 0;       // at servers that are not slowed
     double free_fast_slots = 0;  // fast slots without a request
   };
-  Occupancy OccupancyOf(const ServiceId& service, TimePoint now) const;
+  // The limit of a server counts as the slots that it fills with requests of
+  // `service_time`.
+  Occupancy OccupancyOf(const ServiceId& service, TimePoint now,
+                        Duration service_time = {}) const;
+  std::size_t LimitedServerCount() const;
 
   const std::set<ZoneId>& evacuated() const { return evacuated_; }
 
@@ -135,8 +148,11 @@
   bool is_usable(const BackendServerState& server, TimePoint now) const;
   static double UsableSlots(const BackendServerState& server,
                             const ServerPool& pool);
-  bool try_refill_cold_credit(BackendServerState& server, double rate,
-                              TimePoint now) const;
+  // Whether the rates that a cold or limited server takes leave room for a
+  // request.
+  template <typename Predicate>
+  bool has_rate_for_request(BackendServerState& server, const ServerPool& pool,
+                            Predicate is_rate_use_allowed, TimePoint now) const;
   double EstimatedInFlight(const BackendServerState& server,
                            TimePoint now) const;
   double EstimatedSlowdown(const BackendServerState& server,
@@ -159,9 +175,29 @@
   std::unordered_map<ServiceId, ServerPool> pools_;
 };
 
+template <typename Predicate>
+bool ServerTable::has_rate_for_request(BackendServerState& server,
+                                       const ServerPool& pool,
+                                       Predicate is_rate_use_allowed,
+                                       TimePoint now) const {
+  const bool is_cold = server.cold_until > now;
+  const auto limit = server.directives.max_requests_per_second;
+  if (!is_cold && !limit) return true;
+  if (!is_rate_use_allowed(server)) return false;
+  constexpr double kMaxColdBurst = 1;
+  if (is_cold && !server.cold_requests.Refill(pool.cold_request_rate,
+                                              kMaxColdBurst, now)) {
+    return false;
+  }
+  if (!limit) return true;
+  const double burst =
+      *limit * std::chrono::duration<double>(kMaxLimitedBurst).count();
+  return server.limited_requests.Refill(*limit, std::max(1.0, burst), now);
+}
+
 template <typename Predicate>
 std::optional<ServerSelection> ServerTable::SelectServer(
-    const ServerSelectionQuery& query, Predicate is_cold_use_allowed,
+    const ServerSelectionQuery& query, Predicate is_rate_use_allowed,
     Random& random, TimePoint now) {
   const auto found = pools_.find(query.service);
   if (found == pools_.end()) return std::nullopt;
@@ -172,12 +208,8 @@
   std::uniform_real_distribution<double> spread(1.0, kMaxSpread);
   for (BackendServerState* server : found->second.servers) {
     if (!is_usable(*server, now)) continue;
-    if (server->cold_until > now &&
-        (!is_cold_use_allowed(*server) ||
-         !try_refill_cold_credit(*server, found->second.cold_request_rate,
-                                 now))) {
+    if (!has_rate_for_request(*server, found->second, is_rate_use_allowed, now))
       continue;
-    }
     const auto selection = Evaluate(*server, found->second, query, now);
     if (!selection) continue;
     const double score =
--- a/Libraries/Observe/event_catalogue.cc
+++ b/Libraries/Observe/event_catalogue.cc
@@ -79,6 +79,11 @@
      "A backend server is draining and gets no new requests."},
     {EventId::kServerCold, kInfo, "server-cold",
      "A backend server gets at most its cold rate for `cold_ms`."},
+    {EventId::kServerLimited, kWarning, "server-limited",
+     "A backend server takes only `requests_per_second` from all hosts "
+     "together; `source` is the host that received the response."},
+    {EventId::kServerUnlimited, kInfo, "server-unlimited",
+     "A backend server no longer limits its requests."},
     {EventId::kPeerFound, kInfo, "peer-found",
      "Another entry host was discovered for the first time or again."},
     {EventId::kPeerResponseMalformed, kWarning, "peer-unreadable",
--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -43,6 +43,8 @@
   kServerRemoved = 3002,
   kServerDraining = 3003,
   kServerCold = 3004,
+  kServerLimited = 3005,
+  kServerUnlimited = 3006,
   kPeerFound = 4000,
   kPeerResponseMalformed = 4001,
   kSettingsAccepted = 5000,
--- a/Services/Gateway/gateway_context.h
+++ b/Services/Gateway/gateway_context.h
@@ -44,6 +44,11 @@
             settings.platform_limits.retry_budget_extra};
   }
 
+  // Applies what a backend server's response asks for and logs when a limit
+  // begins or ends. `source` is the host that received the response.
+  void ApplyDirectives(ServerKey server, const ServerDirectives& directives,
+                       std::string_view source);
+
   boost::asio::io_context& io_context;
   platform::HostSettings settings;
   std::unique_ptr<EventLog> log;
--- a/Services/Gateway/gateway_metrics.h
+++ b/Services/Gateway/gateway_metrics.h
@@ -39,6 +39,7 @@
             registry.FindOrCreateGauge("dogwood_store_age_milliseconds")),
         live_hosts(registry.FindOrCreateGauge("dogwood_live_hosts")),
         usable_servers(registry.FindOrCreateGauge("dogwood_usable_servers")),
+        limited_servers(registry.FindOrCreateGauge("dogwood_limited_servers")),
         refused_fingerprints(
             registry.FindOrCreateGauge("dogwood_refused_fingerprints")),
         request_duration(
@@ -64,6 +65,7 @@
   Gauge& store_age_ms;
   Gauge& live_hosts;
   Gauge& usable_servers;
+  Gauge& limited_servers;
   Gauge& refused_fingerprints;  // of requests that crash servers
   LatencyHistogram& request_duration;
   LatencyHistogram& selection_wait_duration;
--- a/Services/Gateway/health_checker.cc
+++ b/Services/Gateway/health_checker.cc
@@ -21,6 +21,23 @@
 constexpr double kIntervalMargin = 1.2;
 // Used when the settings allow a lower rate.
 constexpr double kMinChecksPerSecond = 0.01;
+// Share of a server's limit that is used for health checks.
+constexpr double kCheckShareOfLimit = 0.1;
+
+// Longest interval between two checks of a limited server; bounds the time
+// until the end of a limit is noticed without other requests.
+constexpr Duration kMaxLimitedCheckInterval = std::chrono::seconds(2);
+
+Duration MinIntervalUnderLimit(const BackendServerState& server) {
+  const auto limit = server.directives.max_requests_per_second;
+  if (!limit) return Duration::zero();
+  const double max_interval =
+      std::chrono::duration<double>(kMaxLimitedCheckInterval).count();
+  const double checks_per_second =
+      std::max(kCheckShareOfLimit * *limit, 1 / max_interval);
+  return Duration(
+      static_cast<Duration::rep>(kNanosecondsPerSecond / checks_per_second));
+}
 
 }  // namespace
 
@@ -43,7 +60,8 @@
       kIntervalMargin * kNanosecondsPerSecond /
       std::max(context_.settings.platform_limits.health_checks_per_second,
                kMinChecksPerSecond)));
-  if (since_last_check < min_interval) return false;
+  if (since_last_check < std::max(min_interval, MinIntervalUnderLimit(server)))
+    return false;
   if (server.next_health_check_at > now) return false;
   if (context_.server_table.evacuated().contains(server.registration.zone) &&
       since_last_check < kInactiveCheckInterval) {
@@ -117,6 +135,7 @@
   HttpRequest request;
   request.target = service->health_path;
   context_.metrics.health_checks_sent.Add();
+  context_.server_table.OnHealthCheckSent(key);
   const TimePoint sent_at = MonotonicNow();
   const auto response =
       co_await client->Send(std::move(request), kCheckTimeout);
@@ -178,6 +197,8 @@
   }
   context_.server_table.OnReport(key, ReportSource::kHealthCheck, load,
                                  headers.cold_left, now);
+  context_.ApplyDirectives(key, {headers.max_requests_per_second},
+                           context_.settings.ip);
 }
 
 }  // namespace dogwood
--- a/Services/Gateway/request_forwarder.cc
+++ b/Services/Gateway/request_forwarder.cc
@@ -144,6 +144,7 @@
       attempt.had_process_stall ? AttemptOutcome::kAbandoned : attempt.outcome;
   SelectionCompletion completion{request_number, selection.server, outcome,
                                  attempt.load};
+  completion.directives = attempt.directives;
   if (attempt.outcome != AttemptOutcome::kSucceeded) return completion;
   completion.service_time_ratio = static_cast<double>(attempt.elapsed.count()) /
                                   (static_cast<double>(service_time.count()) *
@@ -353,6 +354,11 @@
         headers.load->running_requests + headers.load->queued_requests,
         headers.load->slowdown};
   }
+  if (response.status != kMisdirected) {
+    attempt.directives = ServerDirectives{headers.max_requests_per_second};
+    context_.ApplyDirectives(ServerKeyOf(server.registration.id),
+                             *attempt.directives, context_.settings.ip);
+  }
   if (response.status == kMisdirected) return AttemptOutcome::kMisdirected;
   if (headers.is_not_run) return AttemptOutcome::kNotRun;
   const bool is_success =
--- a/Services/Gateway/request_forwarder.h
+++ b/Services/Gateway/request_forwarder.h
@@ -78,8 +78,9 @@
     // Holds the response if there is one.
     std::unique_ptr<ServerConnection> connection;
     bool has_response = false;
-    std::optional<ReportedLoad> load;  // reported with the response
-    Duration elapsed{};                // from connecting to the response's end
+    std::optional<ReportedLoad> load;            // reported with the response
+    std::optional<ServerDirectives> directives;  // of the response
+    Duration elapsed{};  // from connecting to the response's end
   };
 
   // An attempt and the selection that it used.
--- a/Services/Gateway/request_forwarder_responses.cc
+++ b/Services/Gateway/request_forwarder_responses.cc
@@ -88,7 +88,8 @@
   std::uniform_real_distribution<double> draw(0, 1);
   const Duration retry_after =
       AdmissionControl::RetryAfter(time_left, draw(context_.random_engine));
-  const auto occupancy = context_.server_table.OccupancyOf(state.service, now);
+  const auto occupancy = context_.server_table.OccupancyOf(
+      state.service, now, TypicalServiceTime(state.route));
   context_.metrics.requests_refused.Add();
   context_.log->Record(
       EventId::kRequestRefused,
--- a/Services/Gateway/server_selector.cc
+++ b/Services/Gateway/server_selector.cc
@@ -137,6 +137,8 @@
     context_.server_table.OnReport(completion.server, ReportSource::kResponse,
                                    *completion.load, {}, now);
   }
+  if (completion.directives)
+    context_.ApplyDirectives(completion.server, *completion.directives, host);
   context_.server_table.OnServiceTimeRatio(completion.server,
                                            completion.service_time_ratio,
                                            completion.was_above_knee);
--- a/Tests/Libraries/Balancing/peer_message_test.cc
+++ b/Tests/Libraries/Balancing/peer_message_test.cc
@@ -24,7 +24,7 @@
   gossip.sender = {"10.0.0.1", kPalermo, Incarnation(17), 0ms, true, 50};
   gossip.tables = {{12, 30ms}, {0, 4s}};
   gossip.observations = {
-      {ServerKey(4000000000U), 7, 1.5, 80ms, 2s, 0.25, true}};
+      {ServerKey(4000000000U), 7, 1.5, 80ms, 2s, 0.25, true, {1.125}}};
   gossip.peers = {{"10.0.0.2", kCatania, Incarnation(3), 100ms, false}};
   const GossipMessage decoded = RoundTrip(gossip);
   CHECK(decoded.sender.ip == "10.0.0.1");
@@ -37,6 +37,7 @@
   CHECK(decoded.observations[0].slowdown == doctest::Approx(1.5));
   CHECK(decoded.observations[0].cold_left == 2s);
   CHECK(decoded.observations[0].is_unreachable);
+  CHECK(decoded.observations[0].directives.max_requests_per_second == 1.125);
   CHECK(decoded.peers[0].zone == kCatania);
 }
 
@@ -87,6 +88,17 @@
                        9, ServerKey(5), AttemptOutcome::kNoResponse, {}})
              .load.has_value());
   CHECK(RoundTrip(SelectionCancellation{9}).request_number == 9);
+  for (const ServerDirectives& directives :
+       {ServerDirectives{}, ServerDirectives{1.125}, ServerDirectives{0.0}}) {
+    SelectionCompletion limited{9, ServerKey(5), AttemptOutcome::kSucceeded};
+    limited.directives = directives;
+    CHECK(RoundTrip(limited).directives == directives);
+    CHECK(!RoundTrip(limited).load.has_value());
+    limited.load = ReportedLoad{3, 1};
+    CHECK(RoundTrip(limited).directives == directives);
+    CHECK(RoundTrip(limited).load.has_value());
+  }
+  CHECK(!RoundTrip(completion).directives.has_value());
 }
 
 TEST_CASE("Suspected requests are decoded as encoded") {
--- a/Tests/Libraries/Balancing/server_table_test.cc
+++ b/Tests/Libraries/Balancing/server_table_test.cc
@@ -250,5 +250,108 @@
   CHECK(fixture.SelectServer(kStart, upload) == "far");
 }
 
+// Requests that the table selects a server for during `duration`, one try each
+// 10 ms, when all of them end at once.
+int CountSent(Fixture& fixture, TimePoint start, Duration duration,
+              bool is_rate_use_allowed) {
+  int count = 0;
+  for (TimePoint now = start; now < start + duration; now += 10ms) {
+    const std::string server =
+        fixture.SelectServer(now, MakeQuery(), is_rate_use_allowed);
+    if (server == "none") continue;
+    ++count;
+    const ServerKey key = ServerKeyOf(ServerId(server));
+    fixture.table.OnSent(key, now);
+    fixture.table.OnEnded(key, AttemptOutcome::kSucceeded, now);
+  }
+  return count;
+}
+
+// Guards against more requests to a server than it has said that it takes.
+TEST_CASE("A limited server gets its limit from one host, none from others") {
+  Fixture fixture;
+  fixture.table.Replace({MakeServer("a")}, kStart);
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  ReportIdle(fixture.table, "a", kStart);
+  CHECK(CountSent(fixture, kStart, 1s, false) == 100);
+  CHECK(fixture.table.OnDirectives(key, {5.0}, kStart + 1s));
+  CHECK_FALSE(fixture.table.OnDirectives(key, {5.0}, kStart + 1s));
+  CHECK(fixture.table.LimitedServerCount() == 1);
+  CHECK(CountSent(fixture, kStart + 1s, 4s, false) == 0);
+  const int sent = CountSent(fixture, kStart + 5s, 4s, true);
+  CHECK(sent >= 19);
+  CHECK(sent <= 22);
+  CHECK(fixture.table.OnDirectives(key, {}, kStart + 9s));
+  CHECK(CountSent(fixture, kStart + 9s, 1s, false) == 100);
+}
+
+// Guards against health checks on top of what a limited server takes.
+TEST_CASE("Health checks count towards the limit of a server") {
+  Fixture fixture;
+  fixture.table.Replace({MakeServer("a")}, kStart);
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  fixture.table.OnDirectives(key, {5.0}, kStart);
+  CountSent(fixture, kStart, 1s, true);
+  for (int i = 0; i < 10; ++i) fixture.table.OnHealthCheckSent(key);
+  CHECK(CountSent(fixture, kStart + 1s, 2s, true) <= 2);
+}
+
+// Guards against a limit of zero that keeps a server out for good, or that is
+// taken for no limit.
+TEST_CASE("A limit of zero stops requests until it ends") {
+  Fixture fixture;
+  fixture.table.Replace({MakeServer("a")}, kStart);
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  fixture.table.OnDirectives(key, {0.0}, kStart);
+  CHECK(CountSent(fixture, kStart, 10s, true) == 0);
+  fixture.table.OnDirectives(key, {}, kStart + 10s);
+  CHECK(CountSent(fixture, kStart + 10s, 1s, true) == 100);
+}
+
+// Guards against holding a server that has started again to what an earlier
+// process asked for.
+TEST_CASE("A server that has started again has no limit") {
+  Fixture fixture;
+  fixture.table.Replace({MakeServer("a")}, kStart);
+  fixture.table.OnDirectives(ServerKeyOf(ServerId("a")), {1.0}, kStart);
+  ServerRegistration restarted = MakeServer("a");
+  restarted.started_at_ms = 2;
+  fixture.table.Replace({restarted}, kStart + 1s);
+  CHECK(fixture.table.LimitedServerCount() == 0);
+}
+
+// Guards against dispatchers of other zones that do not know a limit, and
+// against older observations that end it.
+TEST_CASE("A limit is merged from other hosts unless it is older") {
+  Fixture here;
+  Fixture there;
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  for (Fixture* fixture : {&here, &there}) {
+    fixture->table.Replace({MakeServer("a")}, kStart);
+    ReportIdle(fixture->table, "a", kStart);
+  }
+  there.table.OnDirectives(key, {5.0}, kStart + 100ms);
+  ReportIdle(there.table, "a", kStart + 100ms);
+  const auto news = there.table.TakeUnpublishedObservations(10, kStart + 200ms);
+  REQUIRE(news.size() == 1);
+  here.table.Merge(news[0], kStart + 200ms);
+  CHECK(here.table.LimitedServerCount() == 1);
+  here.table.OnDirectives(key, {}, kStart + 300ms);
+  here.table.Merge(news[0], kStart + 300ms);
+  CHECK(here.table.LimitedServerCount() == 0);
+}
+
+// Guards against requests that wait for slots which a limit leaves unused.
+TEST_CASE("Occupancy counts only the slots that a limited server can fill") {
+  Fixture fixture;
+  fixture.table.Replace({MakeServer("a")}, kStart);
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  ReportIdle(fixture.table, "a", kStart);
+  CHECK(fixture.table.OccupancyOf(kTracking, kStart, 100ms).fast_slots == 6);
+  fixture.table.OnDirectives(key, {5.0}, kStart);
+  CHECK(fixture.table.OccupancyOf(kTracking, kStart, 100ms).fast_slots ==
+        doctest::Approx(0.5));
+}
+
 }  // namespace
 }  // namespace dogwood
--- a/Tests/platform/platform_headers_test.cc
+++ b/Tests/platform/platform_headers_test.cc
@@ -44,6 +44,25 @@
   }
 }
 
+// Guards against a server that gets nothing, or everything, for a limit that
+// can't be read.
+TEST_CASE("A limit is a decimal number of requests, anything else is none") {
+  const auto parse = [](std::string_view text) {
+    MessageHead head;
+    head.status = 200;
+    head.AddField("Server-Limit", text);
+    return ParseServerHeaders(head).max_requests_per_second;
+  };
+  CHECK(parse("12") == 12.0);
+  CHECK(parse("1.25") == 1.25);
+  CHECK(parse("0") == 0.0);
+  for (const std::string_view text :
+       {"", "x", "-1", "nan", "inf", "1e9", "1e999", "5 6", "5,6", "0x10"}) {
+    CAPTURE(text);
+    CHECK(!parse(text).has_value());
+  }
+}
+
 // A request that the server ran must not be reported as not executed, or a
 // retry would run it twice.
 TEST_CASE(
