Http, platform: Refuse addresses with a port out of range

Other operators reported hosts that ended, or stopped following the list of servers, on one odd entry of another writer: nested very deeply, with a number too large, or with a port out of range.

Here such entries end no host and stop nothing: nested values (30,000 levels of a 64 KiB row) and numbers out of range were refused with event 5302 already. The port was a fault: from_chars consumes all digits of a number that is out of range and leaves the result, so "10.0.0.1:99999" was taken for port 0 and named a server that hosts tried to use.

"Hosts follow the list of servers past odd entries" passed before and after.

--- a/Libraries/Http/http_client.cc
+++ b/Libraries/Http/http_client.cc
@@ -53,9 +53,10 @@
       ip = ip.substr(1, ip.size() - 2);
     const char* text_end = text.data() + text.size();
     const auto address = asio::ip::make_address(std::string(ip), error);
-    if (!error &&
-        std::from_chars(text.data() + colon + 1, text_end, port).ptr ==
-            text_end) {
+    // from_chars consumes all digits of a number that is out of range.
+    const auto [port_end, port_error] =
+        std::from_chars(text.data() + colon + 1, text_end, port);
+    if (!error && port_error == std::errc() && port_end == text_end) {
       return asio::ip::tcp::endpoint(address, port);
     }
   }
--- a/Tests/Services/Gateway/gateway_test.cc
+++ b/Tests/Services/Gateway/gateway_test.cc
@@ -505,5 +505,34 @@
   CHECK(served < 30);
 }
 
+// Guards against one odd entry of another writer that ends the hosts which read
+// the list of servers, or stops them from following it.
+TEST_CASE("Hosts follow the list of servers past odd entries") {
+  GatewayFixture fixture;
+  ScriptedBackendServer& first =
+      fixture.AddBackend("i-1", RespondWithTarget());
+  const std::string registration = first.Registration("s", "z");
+  const std::size_t colon = registration.find(first.address()) + 10;
+  std::string bad_port = registration;
+  bad_port.insert(colon, "9999999");
+  fixture.store().Put("servers", "i-0-nested", std::string(60000, '['));
+  fixture.store().Put("servers", "i-0-objects", [] {
+    std::string text;
+    for (int i = 0; i < 10000; ++i) text += R"({"a":)";
+    return text;
+  }());
+  fixture.store().Put("servers", "i-0-number", R"({"born":1e400})");
+  fixture.store().Put("servers", "i-0-port", bad_port);
+  fixture.StartAndWaitUntilReady();
+  CHECK(HasStatus(fixture.SendRequest("GET", "/read/1", "id-1"), 200));
+  CHECK(first.received_requests().size() == 1);
+  fixture.store().Remove("servers", "i-1");
+  ScriptedBackendServer& second =
+      fixture.AddBackend("i-2", RespondWithTarget());
+  fixture.RunFor(2s);
+  CHECK(HasStatus(fixture.SendRequest("GET", "/read/2", "id-2"), 200));
+  CHECK(second.received_requests().size() == 1);
+}
+
 }  // namespace
 }  // namespace dogwood
--- a/Tests/platform/routing_configuration_decoder_test.cc
+++ b/Tests/platform/routing_configuration_decoder_test.cc
@@ -136,5 +136,58 @@
   CHECK(!ParseEvacuationKey("evacuate/").has_value());
 }
 
+std::string RegistrationWith(const std::string& address,
+                             const std::string& seq,
+                             const std::string& extra) {
+  return R"({"address":")" + address +
+         R"(","born":1,"info":{"service":"s","zone":"z","slots":6)" + extra +
+         R"(},"status":{"state":"ready","seq":)" + seq +
+         R"(,"cold_left":"0ms"}})";
+}
+
+std::string Nested(std::size_t depth, const std::string& open,
+                   const std::string& close) {
+  std::string text;
+  for (std::size_t i = 0; i < depth; ++i) text += open;
+  text += "1";
+  for (std::size_t i = 0; i < depth; ++i) text += close;
+  return text;
+}
+
+// Guards against one odd entry of another writer that ends each host which
+// reads the list of servers, or that is taken for a server.
+TEST_CASE("Odd registrations name no server and do no harm") {
+  const std::string address = "127.0.0.1:9000";
+  REQUIRE(DecodeServerRegistration("a", RegistrationWith(address, "1", ""))
+              .has_value());
+  constexpr std::size_t kDepth = 30000;  // fits a row of 64 KiB
+  const std::string arrays = Nested(kDepth, "[", "]");
+  const std::string objects = Nested(kDepth / 3, R"({"a":)", "}");
+  // Unknown fields are ignored, whatever they hold.
+  CHECK(DecodeServerRegistration(
+            "a", RegistrationWith(address, "1", ",\"x\":" + arrays))
+            .has_value());
+  for (const std::string& value :
+       {arrays, objects, Nested(kDepth * 2, "[", ""),
+        RegistrationWith(address, arrays, ""),
+        RegistrationWith(address, objects, ""),
+        RegistrationWith(address, "1e400", ""),
+        RegistrationWith(address, "99999999999999999999999", ""),
+        RegistrationWith(address, "-1", ""),
+        RegistrationWith(address, "1", ",\"x\":1e400"),
+        RegistrationWith("127.0.0.1:65536", "1", ""),
+        RegistrationWith("127.0.0.1:99999", "1", ""),
+        RegistrationWith("127.0.0.1:99999999999999999999", "1", ""),
+        RegistrationWith("127.0.0.1:0", "1", ""),
+        RegistrationWith("127.0.0.1:-1", "1", ""),
+        RegistrationWith("127.0.0.1:", "1", ""),
+        RegistrationWith("127.0.0.1:80x", "1", ""),
+        RegistrationWith("somewhere:80", "1", ""), std::string("\xff\xfe"),
+        std::string()}) {
+    CAPTURE(value.substr(0, 100));
+    CHECK(!DecodeServerRegistration("a", value).has_value());
+  }
+}
+
 }  // namespace
 }  // namespace dogwood::platform
