Tests: Show that a repeated refusal answers no later request

Other operators reported that a faulty backend server wrote an earlier refusal once more on a kept connection, and that callers were told "not run" for requests that had run, or that such a request ran twice. This cannot happen here: a response without the request's own id is skipped, and a kept connection with unread bytes is not used.

--- a/Tests/Services/Gateway/gateway_test.cc
+++ b/Tests/Services/Gateway/gateway_test.cc
@@ -509,8 +509,7 @@
 // the list of servers, or stops them from following it.
 TEST_CASE("Hosts follow the list of servers past odd entries") {
   GatewayFixture fixture;
-  ScriptedBackendServer& first =
-      fixture.AddBackend("i-1", RespondWithTarget());
+  ScriptedBackendServer& first = fixture.AddBackend("i-1", RespondWithTarget());
   const std::string registration = first.Registration("s", "z");
   const std::size_t colon = registration.find(first.address()) + 10;
   std::string bad_port = registration;
@@ -534,5 +533,45 @@
   CHECK(second.received_requests().size() == 1);
 }
 
+std::string RefusalOf(const std::string& id) {
+  const std::string id_field = id.empty() ? "" : "X-Request-Id: " + id + "\r\n";
+  return "HTTP/1.1 503 Service Unavailable\r\n" + id_field +
+         "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+// Guards against a refusal that a faulty server writes again on a kept
+// connection: the next caller would be told that its request was not run.
+TEST_CASE(
+    "A repeated refusal is not taken for the response to a later request") {
+  for (const std::string copied_id : {"id-1", ""}) {
+    for (const bool comes_early : {true, false}) {
+      CAPTURE(copied_id);
+      CAPTURE(comes_early);
+      GatewayFixture fixture;
+      const std::string copy = RefusalOf(copied_id);
+      ScriptedBackendServer& backend =
+          fixture.AddBackend("i-1", [&](const ReceivedRequest& request) {
+            if (request.id == "id-1") {
+              return ScriptedResponse{RefusalOf(request.id) +
+                                      (comes_early ? copy : "")};
+            }
+            return ScriptedResponse{
+                (comes_early ? "" : copy) +
+                ScriptedBackendServer::OkResponse(request, request.id)};
+          });
+      fixture.StartAndWaitUntilReady();
+      CHECK(
+          HasStatus(fixture.SendRequest("POST", "/write/", "id-1", "b"), 503));
+      for (const std::string id : {"id-2", "id-3"}) {
+        const std::string response =
+            fixture.SendRequest("POST", "/write/", id, "b");
+        CHECK(HasStatus(response, 200));
+        CHECK(response.ends_with(id));
+      }
+      CHECK(backend.received_requests().size() == 3);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace dogwood
