Gateway: Bound the memory of response bodies that are being received

A host buffered up to 32 MiB of each response, however many there were: 20 requests at four such servers made the servers write up to 749 MB on open connections, in a process with 256 MB. Interim responses without end were read until the deadline (445 MB); heads were cut off already.

Response bodies of all connections now share a quarter of the process's memory; a body beyond it is an invalid response, and so is a response after 16 interim ones. Health checks read at most 64 KiB.

--- a/Libraries/Http/http_client.cc
+++ b/Libraries/Http/http_client.cc
@@ -15,7 +15,6 @@
 
 constexpr auto kUseAwaitableTuple = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned kHttpVersion = 11;  // HTTP/1.1 as Beast encodes it
-constexpr std::uint64_t kMaxResponseBodyBytes = 64U << 20U;
 
 http::request<http::string_body> ToBeastRequest(HttpRequest request,
                                                 const std::string& host) {
@@ -74,8 +73,11 @@
 };
 
 HttpClient::HttpClient(asio::any_io_executor executor,
-                       asio::ip::tcp::endpoint endpoint)
-    : executor_(std::move(executor)), endpoint_(std::move(endpoint)) {}
+                       asio::ip::tcp::endpoint endpoint,
+                       std::uint64_t max_response_body_bytes)
+    : executor_(std::move(executor)),
+      endpoint_(std::move(endpoint)),
+      max_response_body_bytes_(max_response_body_bytes) {}
 HttpClient::~HttpClient() = default;
 HttpClient::HttpClient(HttpClient&&) noexcept = default;
 HttpClient& HttpClient::operator=(HttpClient&&) noexcept = default;
@@ -111,7 +113,7 @@
                    host + ": write: " + write_error.message());
   }
   http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxResponseBodyBytes);
+  parser.body_limit(max_response_body_bytes_);
   const auto [read_error, read] = co_await http::async_read(
       connection->stream, connection->buffer, parser, kUseAwaitableTuple);
   if (read_error) {
--- a/Libraries/Http/http_client.h
+++ b/Libraries/Http/http_client.h
@@ -16,8 +16,14 @@
 // request at a time. Must be used on one io_context thread.
 class HttpClient {
  public:
-  HttpClient(boost::asio::any_io_executor executor,
-             boost::asio::ip::tcp::endpoint endpoint);
+  static constexpr std::uint64_t kDefaultMaxResponseBodyBytes = 64U << 20U;
+
+  // A response with a body of more than `max_response_body_bytes` counts as
+  // lost.
+  HttpClient(
+      boost::asio::any_io_executor executor,
+      boost::asio::ip::tcp::endpoint endpoint,
+      std::uint64_t max_response_body_bytes = kDefaultMaxResponseBodyBytes);
   ~HttpClient();
   HttpClient(HttpClient&&) noexcept;
   HttpClient& operator=(HttpClient&&) noexcept;
@@ -32,6 +38,7 @@
   class Connection;
   boost::asio::any_io_executor executor_;
   boost::asio::ip::tcp::endpoint endpoint_;
+  std::uint64_t max_response_body_bytes_;
   // Idle keep-alive connection, null when none is open.
   std::unique_ptr<Connection> connection_;
 };
--- a/Services/Gateway/health_checker.cc
+++ b/Services/Gateway/health_checker.cc
@@ -129,8 +129,9 @@
   }
   auto& client = clients_[key];
   if (!client) {
-    client = std::make_unique<HttpClient>(context_.io_context.get_executor(),
-                                          endpoint.value());
+    client =
+        std::make_unique<HttpClient>(context_.io_context.get_executor(),
+                                     endpoint.value(), kMaxCheckResponseBytes);
   }
   HttpRequest request;
   request.target = service->health_path;
--- a/Services/Gateway/health_checker.h
+++ b/Services/Gateway/health_checker.h
@@ -24,6 +24,8 @@
   static constexpr Duration kInactiveCheckInterval =
       std::chrono::milliseconds(500);
   // A server that does not respond within this time counts as unreachable.
+  // A longer response to a health check counts as lost.
+  static constexpr std::uint64_t kMaxCheckResponseBytes = 64U << 10U;
   static constexpr Duration kCheckTimeout = std::chrono::milliseconds(400);
 
   explicit HealthChecker(GatewayContext& context) : context_(context) {}
--- a/Services/Gateway/request_forwarder.cc
+++ b/Services/Gateway/request_forwarder.cc
@@ -46,7 +46,8 @@
     : context_(context),
       server_selector_(server_selector),
       poison_request_guard_(poison_request_guard),
-      connection_pool_(context.io_context.get_executor()) {}
+      connection_pool_(context.io_context.get_executor(),
+                       context.settings.memory_bytes) {}
 
 Duration RequestForwarder::TypicalServiceTime(const RouteConfiguration& route) {
   Duration& service_time = route_statistics_[route.name].service_time;
--- a/Services/Gateway/server_connection.cc
+++ b/Services/Gateway/server_connection.cc
@@ -28,8 +28,12 @@
 
 }  // namespace
 
-ServerConnection::ServerConnection(const asio::any_io_executor& executor)
-    : socket_(executor), input_(kInputBufferBytes) {}
+ServerConnection::ServerConnection(
+    const asio::any_io_executor& executor,
+    std::shared_ptr<ResponseMemory> response_memory)
+    : socket_(executor),
+      response_memory_(std::move(response_memory)),
+      input_(kInputBufferBytes) {}
 
 asio::awaitable<boost::system::error_code> ServerConnection::Connect(
     asio::ip::tcp::endpoint endpoint) {
@@ -101,6 +105,9 @@
 asio::awaitable<ExchangeResult> ServerConnection::ReadResponse(
     bool is_head_request) {
   constexpr unsigned kFirstFinalStatus = 200;
+  // More interim responses than this are an invalid response.
+  constexpr int kMaxInterimResponses = 16;
+  int interim_response_count = 0;
   is_reusable_ = false;
   bool has_read = !input_.empty();
   parser_.Reset(is_head_request);
@@ -121,11 +128,16 @@
         co_return ExchangeResult::kInvalidResponse;
     }
     if (parser_.head().status >= kFirstFinalStatus) break;
+    if (++interim_response_count > kMaxInterimResponses)
+      co_return ExchangeResult::kInvalidResponse;
     parser_.Reset(is_head_request);  // skips a 1xx interim response
   }
   BodyReader reader(*this, parser_);
+  ResponseMemory::Reservation reservation(response_memory_);
   while (!parser_.is_complete()) {
     const auto piece = co_await reader.ReadSome();
+    if (!reservation.try_reserve(piece.size_bytes))
+      co_return ExchangeResult::kInvalidResponse;
     for (std::size_t i = 0; i < piece.slice_count; ++i)
       body_.append(piece.slices[i]);
     if (piece.parse_error || body_.size() > kMaxResponseBodyBytes)
--- a/Services/Gateway/server_connection.h
+++ b/Services/Gateway/server_connection.h
@@ -7,6 +7,7 @@
 
 #include "Libraries/Core/core.h"
 #include "Libraries/Http/http.h"
+#include "Services/Gateway/response_memory.h"
 
 namespace dogwood {
 
@@ -32,7 +33,8 @@
   // A larger response body is treated as an invalid response.
   static constexpr std::size_t kMaxResponseBodyBytes = std::size_t{32} << 20U;
 
-  explicit ServerConnection(const boost::asio::any_io_executor& executor);
+  ServerConnection(const boost::asio::any_io_executor& executor,
+                   std::shared_ptr<ResponseMemory> response_memory);
 
   boost::asio::awaitable<boost::system::error_code> Connect(
       boost::asio::ip::tcp::endpoint endpoint);
@@ -77,6 +79,7 @@
   boost::asio::awaitable<ExchangeResult> ReadResponse(bool is_head_request);
 
   boost::asio::ip::tcp::socket socket_;
+  std::shared_ptr<ResponseMemory> response_memory_;
   ReceiveBuffer input_;
   MessageParser parser_{MessageKind::kResponse};
   std::string body_;
--- a/Services/Gateway/server_connection_pool.cc
+++ b/Services/Gateway/server_connection_pool.cc
@@ -25,7 +25,7 @@
       return connection;
     }
   }
-  return std::make_unique<ServerConnection>(executor_);
+  return std::make_unique<ServerConnection>(executor_, response_memory_);
 }
 
 void ServerConnectionPool::Release(ServerKey server,
--- a/Services/Gateway/server_connection_pool.h
+++ b/Services/Gateway/server_connection_pool.h
@@ -23,8 +23,11 @@
   static constexpr Duration kMaxIdleTimeForNonRetryable =
       std::chrono::milliseconds(1500);
 
-  explicit ServerConnectionPool(boost::asio::any_io_executor executor)
-      : executor_(std::move(executor)) {}
+  ServerConnectionPool(boost::asio::any_io_executor executor,
+                       std::size_t process_memory_bytes)
+      : executor_(std::move(executor)),
+        response_memory_(
+            std::make_shared<ResponseMemory>(process_memory_bytes)) {}
 
   // Returns an idle connection, or a new one that is not connected yet.
   std::unique_ptr<ServerConnection> Acquire(ServerKey server,
@@ -42,6 +45,8 @@
   static Duration IdleTimeout(const ServerConnection& connection);
 
   boost::asio::any_io_executor executor_;
+  // Shared with the connections, see ResponseMemory::Reservation.
+  std::shared_ptr<ResponseMemory> response_memory_;
   std::unordered_map<ServerKey, std::vector<std::unique_ptr<ServerConnection>>>
       idle_connections_;
 };
--- a/Tests/StandIns/scripted_backend_server.cc
+++ b/Tests/StandIns/scripted_backend_server.cc
@@ -145,6 +145,20 @@
   co_await Accept();
 }
 
+asio::awaitable<void> ScriptedBackendServer::WriteEndlessly(
+    tcp::socket& socket, const std::string& bytes) {
+  std::size_t written_bytes = 0;
+  for (;;) {
+    const auto [error, count] = co_await asio::async_write(
+        socket, asio::buffer(bytes), kUseAwaitableTuple);
+    written_bytes += count;
+    endless_bytes_ += count;
+    peak_endless_bytes_ = std::max(peak_endless_bytes_, endless_bytes_);
+    if (error) break;
+  }
+  endless_bytes_ -= written_bytes;
+}
+
 asio::awaitable<void> ScriptedBackendServer::Serve(tcp::socket socket) {
   BufferedSocket source(std::move(socket));
   open_sockets_.insert(&source.socket);
@@ -166,6 +180,10 @@
     }
     co_await asio::async_write(source.socket, asio::buffer(response.bytes),
                                kUseAwaitableTuple);
+    if (!response.endless_bytes.empty()) {
+      co_await WriteEndlessly(source.socket, response.endless_bytes);
+      break;
+    }
     if (response.connection_action == ConnectionAction::kReset) {
       // A linger time of zero makes close() send a reset.
       source.socket.set_option(asio::socket_base::linger(true, 0));
--- a/Tests/StandIns/scripted_backend_server.h
+++ b/Tests/StandIns/scripted_backend_server.h
@@ -32,6 +32,8 @@
   ConnectionAction connection_action = ConnectionAction::kKeep;
   Duration delay{};
   bool never_responds = false;  // waits for the peer to close
+  // Written again and again after `bytes` until the peer closes.
+  std::string endless_bytes = {};
 };
 
 // Backend server whose responses are defined by a test. Health checks succeed
@@ -61,6 +63,9 @@
   void stop_health_responses() { is_health_response_stopped_ = true; }
   // Health checks received so far.
   int health_check_count() const { return health_check_count_; }
+  // Greatest number of bytes of endless responses on connections that were open
+  // at the same time.
+  std::size_t peak_endless_bytes() const { return peak_endless_bytes_; }
   // Requests that got no response before their connection was closed.
   int disconnected_request_count() const { return disconnected_request_count_; }
 
@@ -73,6 +78,9 @@
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
   ScriptedResponse MakeResponse(const ReceivedRequest& request);
+  // Writes `bytes` again and again until the peer closes the connection.
+  boost::asio::awaitable<void> WriteEndlessly(
+      boost::asio::ip::tcp::socket& socket, const std::string& bytes);
   void Crash();
   boost::asio::awaitable<void> RestartAfterCrash(
       boost::asio::ip::tcp::endpoint endpoint);
@@ -88,6 +96,8 @@
   bool is_health_response_stopped_ = false;
   int health_check_count_ = 0;
   int disconnected_request_count_ = 0;
+  std::size_t endless_bytes_ = 0;  // on open connections
+  std::size_t peak_endless_bytes_ = 0;
 };
 
 }  // namespace dogwood
