Balancing, Gateway: Send nothing to servers that leave or want a pause

What a server's process asks of a host is one ServerHold next to ServerDirectives. It outlives the registration, which may lapse and return, and does not bind a later process with the same id. Leaving is told to other hosts with completions and gossip, a pause concerns only the host that was told. A host lists held servers as excluded when it asks its dispatcher, and checks again before it sends.

Not covered: a dispatcher counts slots of servers that are paused for the asking host as free, so with some servers paused and the others full callers wait in the queue instead of being refused at once.

--- a/Libraries/Balancing/backend_server_state.h
+++ b/Libraries/Balancing/backend_server_state.h
@@ -21,6 +21,7 @@
   kUnreachable,  // connection failed
   kMisdirected,  // a different server listens at the address
   kAbandoned,    // the caller disconnected or the deadline passed
+  kHeldBack,     // not sent: the server wants nothing from this host
 };
 
 // What a backend server's responses ask of its callers, for as long as they say
@@ -28,6 +29,9 @@
 struct ServerDirectives {
   // Requests that it takes from all hosts together; absent without a limit.
   std::optional<double> max_requests_per_second;
+  // Start time of the server's process if it says that it is leaving, see
+  // ServerRegistration.
+  std::optional<std::uint64_t> leaving_started_at_ms;
 
   friend bool operator==(const ServerDirectives&,
                          const ServerDirectives&) = default;
--- a/Libraries/Balancing/peer_message.cc
+++ b/Libraries/Balancing/peer_message.cc
@@ -66,13 +66,20 @@
 
 // Limits are encoded as they are: hundredths would lose those of slow servers.
 Json ToJson(const ServerDirectives& directives) {
-  return directives.max_requests_per_second.value_or(kNoRequestLimit);
+  return Json::array(
+      {directives.max_requests_per_second.value_or(kNoRequestLimit),
+       directives.leaving_started_at_ms
+           ? Json(*directives.leaving_started_at_ms)
+           : Json()});
 }
 
 ServerDirectives ParseDirectives(const Json& item) {
-  const auto limit = item.get<double>();
-  if (!(limit >= 0)) return {};
-  return {limit};
+  ServerDirectives directives;
+  const auto limit = item.at(0).get<double>();
+  if (limit >= 0) directives.max_requests_per_second = limit;
+  if (!item.at(1).is_null())
+    directives.leaving_started_at_ms = item.at(1).get<std::uint64_t>();
+  return directives;
 }
 
 Json ToJson(const ServerObservation& observation) {
@@ -223,7 +230,7 @@
   SelectionCompletion completion;
   completion.request_number = root.at(2).get<std::uint64_t>();
   completion.server = ServerKey(root.at(3).get<std::uint32_t>());
-  completion.outcome = ParseEnum(root.at(4), AttemptOutcome::kAbandoned);
+  completion.outcome = ParseEnum(root.at(4), AttemptOutcome::kHeldBack);
   completion.service_time_ratio = FromHundredths(root.at(5));
   completion.was_above_knee = root.at(6).get<bool>();
   if (root.size() > 8 && !root.at(7).is_null()) {
--- a/Libraries/Balancing/server_table.cc
+++ b/Libraries/Balancing/server_table.cc
@@ -67,6 +67,7 @@
     kept[key] = std::move(state);
   }
   servers_ = std::move(kept);
+  RemoveOldHolds(now);
 }
 
 void ServerTable::SetColdRequestRate(const ServiceId& service,
@@ -78,7 +79,7 @@
                             TimePoint now) const {
   return server.registration.availability == ServerAvailability::kReady &&
          !server.is_misdirected && !server.needs_health_check &&
-         !evacuated_.contains(server.registration.zone);
+         !is_leaving(server) && !evacuated_.contains(server.registration.zone);
 }
 
 double ServerTable::EstimatedInFlight(const BackendServerState& server,
@@ -230,6 +231,7 @@
       OnMisdirected(key);
       break;
     case AttemptOutcome::kAbandoned:
+    case AttemptOutcome::kHeldBack:
       break;
   }
 }
@@ -292,10 +294,93 @@
   if (server == nullptr) return false;
   const bool was_limited =
       server->directives.max_requests_per_second.has_value();
+  const bool was_leaving = is_leaving(*server);
   if (server->directives != directives) server->has_unpublished_change = true;
-  server->directives = directives;
-  server->directives_reported_at = now;
-  return was_limited != directives.max_requests_per_second.has_value();
+  ApplyDirectives(*server, directives, now);
+  return was_limited != directives.max_requests_per_second.has_value() ||
+         was_leaving != is_leaving(*server);
+}
+
+void ServerTable::ApplyDirectives(BackendServerState& server,
+                                  const ServerDirectives& directives,
+                                  TimePoint now) {
+  server.directives = directives;
+  server.directives_reported_at = now;
+  // A later process with the same id is not leaving.
+  if (directives.leaving_started_at_ms == server.registration.started_at_ms)
+    FindOrAddHold(server, now).is_leaving = true;
+}
+
+const ServerTable::ServerHold* ServerTable::FindHold(
+    const BackendServerState& server) const {
+  const auto found = holds_.find(server.key);
+  const bool is_same_process =
+      found != holds_.end() &&
+      found->second.started_at_ms == server.registration.started_at_ms;
+  return is_same_process ? &found->second : nullptr;
+}
+
+ServerTable::ServerHold& ServerTable::FindOrAddHold(
+    const BackendServerState& server, TimePoint now) {
+  ServerHold& hold = holds_[server.key];
+  if (hold.started_at_ms != server.registration.started_at_ms)
+    hold = {server.registration.started_at_ms};
+  hold.updated_at = now;
+  return hold;
+}
+
+void ServerTable::RemoveOldHolds(TimePoint now) {
+  std::erase_if(holds_, [&](const auto& item) {
+    return !servers_.contains(item.first) &&
+           now - std::max(item.second.updated_at, item.second.paused_until) >
+               kHoldRetention;
+  });
+}
+
+bool ServerTable::is_leaving(const BackendServerState& server) const {
+  const ServerHold* hold = FindHold(server);
+  return hold != nullptr && hold->is_leaving;
+}
+
+void ServerTable::OnPause(ServerKey key, Duration pause, TimePoint now) {
+  const BackendServerState* server = Find(key);
+  if (server == nullptr) return;
+  ServerHold& hold = FindOrAddHold(*server, now);
+  hold.paused_until = std::max(hold.paused_until, now + pause);
+}
+
+bool ServerTable::is_held_back(ServerKey key, TimePoint now) const {
+  const BackendServerState* server = Find(key);
+  const ServerHold* hold = server == nullptr ? nullptr : FindHold(*server);
+  return hold != nullptr && (hold->is_leaving || now < hold->paused_until);
+}
+
+std::vector<ServerKey> ServerTable::HeldBackServers(const ServiceId& service,
+                                                    TimePoint now) const {
+  std::vector<ServerKey> servers;
+  for (const auto& [key, hold] : holds_) {
+    const BackendServerState* server = Find(key);
+    if (server != nullptr && server->registration.service == service &&
+        is_held_back(key, now)) {
+      servers.push_back(key);
+    }
+  }
+  return servers;
+}
+
+std::optional<Duration> ServerTable::HoldTimeLeft(const ServiceId& service,
+                                                  TimePoint now) const {
+  const auto found = pools_.find(service);
+  if (found == pools_.end() || holds_.empty()) return std::nullopt;
+  std::optional<Duration> time_left;
+  for (const BackendServerState* server : found->second.servers) {
+    if (!is_usable(*server, now)) continue;
+    const ServerHold* hold = FindHold(*server);
+    if (hold == nullptr || hold->paused_until <= now) return std::nullopt;
+    const Duration left = hold->paused_until - now;
+    time_left = std::min(time_left.value_or(left), left);
+  }
+  return time_left;
 }
 
 void ServerTable::OnHealthCheckSent(ServerKey key) {
@@ -334,8 +419,7 @@
   }
   if (server->directives_reported_at < taken_at &&
       !observation.is_unreachable) {
-    server->directives = observation.directives;
-    server->directives_reported_at = taken_at;
+    ApplyDirectives(*server, observation.directives, taken_at);
   }
   if (observation.failure_rate > FailureRate(*server, now)) {
     server->failure_rate = observation.failure_rate;
--- a/Libraries/Balancing/server_table.h
+++ b/Libraries/Balancing/server_table.h
@@ -63,6 +63,8 @@
       std::chrono::milliseconds(300);
   static constexpr Duration kMaxHealthCheckBackoff = std::chrono::seconds(2);
 
+  // How long a hold on a server outlives its registration.
+  static constexpr Duration kHoldRetention = std::chrono::minutes(10);
   // Longest time for which unused requests of a limited server are kept.
   static constexpr Duration kMaxLimitedBurst = std::chrono::milliseconds(250);
 
@@ -96,9 +98,21 @@
   void OnReport(ServerKey server, ReportSource source, ReportedLoad load,
                 std::optional<Duration> cold_left, TimePoint now);
   // Applies what a response that this host has just received asks for. Returns
-  // whether a limit has begun or ended.
+  // whether a limit has begun or ended, or the server has begun to leave.
   bool OnDirectives(ServerKey server, const ServerDirectives& directives,
                     TimePoint now);
+  // The server wants nothing from this host for `pause`.
+  void OnPause(ServerKey server, Duration pause, TimePoint now);
+  // Whether this host must not send to the server, because it is leaving or
+  // wants nothing from this host.
+  bool is_held_back(ServerKey server, TimePoint now) const;
+  // Servers of the service that are held back.
+  std::vector<ServerKey> HeldBackServers(const ServiceId& service,
+                                         TimePoint now) const;
+  // Time until the first server of the service is no longer held back; absent
+  // if one isn't, or if none will be.
+  std::optional<Duration> HoldTimeLeft(const ServiceId& service,
+                                       TimePoint now) const;
   // Counts a health check towards the limit of the server.
   void OnHealthCheckSent(ServerKey server);
   // Records the service time of an attempt relative to the expected one.
@@ -144,8 +158,26 @@
     double cold_request_rate = 1;  // requests per second
   };
 
+  // What a server's process has asked of this host. Outlives its registration,
+  // which may lapse and return.
+  struct ServerHold {
+    std::uint64_t started_at_ms = 0;  // of the process
+    bool is_leaving = false;
+    TimePoint paused_until{};
+    TimePoint updated_at{};
+  };
+
+  // The hold on the registered process of the server, or nullptr.
+  const ServerHold* FindHold(const BackendServerState& server) const;
+  ServerHold& FindOrAddHold(const BackendServerState& server, TimePoint now);
+  // Forgets holds on servers that have been gone for kHoldRetention.
+  void RemoveOldHolds(TimePoint now);
+  void ApplyDirectives(BackendServerState& server,
+                       const ServerDirectives& directives, TimePoint now);
   static void RequireHealthCheck(BackendServerState& server, TimePoint now);
   bool is_usable(const BackendServerState& server, TimePoint now) const;
+  // Whether the server's process has said that it is leaving.
+  bool is_leaving(const BackendServerState& server) const;
   static double UsableSlots(const BackendServerState& server,
                             const ServerPool& pool);
   // Whether the rates that a cold or limited server takes leave room for a
@@ -173,6 +205,7 @@
   std::set<ZoneId> evacuated_;
   std::unordered_map<ServerKey, std::unique_ptr<BackendServerState>> servers_;
   std::unordered_map<ServiceId, ServerPool> pools_;
+  std::unordered_map<ServerKey, ServerHold> holds_;
 };
 
 template <typename Predicate>
--- a/Libraries/Observe/event_catalogue.cc
+++ b/Libraries/Observe/event_catalogue.cc
@@ -84,6 +84,11 @@
      "together; `source` is the host that received the response."},
     {EventId::kServerUnlimited, kInfo, "server-unlimited",
      "A backend server no longer limits its requests."},
+    {EventId::kServerLeaving, kInfo, "server-leaving",
+     "A backend server says in a response that it is leaving; `source` is the "
+     "host that received it."},
+    {EventId::kServerPaused, kInfo, "server-paused",
+     "A backend server wants nothing from this host for `pause_ms`."},
     {EventId::kPeerFound, kInfo, "peer-found",
      "Another entry host was discovered for the first time or again."},
     {EventId::kPeerResponseMalformed, kWarning, "peer-unreadable",
--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -45,6 +45,8 @@
   kServerCold = 3004,
   kServerLimited = 3005,
   kServerUnlimited = 3006,
+  kServerLeaving = 3007,
+  kServerPaused = 3008,
   kPeerFound = 4000,
   kPeerResponseMalformed = 4001,
   kSettingsAccepted = 5000,
--- a/Services/Gateway/gateway_context.cc
+++ b/Services/Gateway/gateway_context.cc
@@ -10,10 +10,28 @@
       static_cast<std::int64_t>(server_table.LimitedServerCount()));
   const BackendServerState* server = server_table.Find(key);
   const auto limit = directives.max_requests_per_second;
-  log->Record(limit ? EventId::kServerLimited : EventId::kServerUnlimited,
-              {{"server", server->registration.id.value()},
-               {"requests_per_second", limit.value_or(-1)},
-               {"source", source}});
+  const EventId event = directives.leaving_started_at_ms
+                            ? EventId::kServerLeaving
+                        : limit ? EventId::kServerLimited
+                                : EventId::kServerUnlimited;
+  log->Record(event, {{"server", server->registration.id.value()},
+                      {"requests_per_second", limit.value_or(-1)},
+                      {"source", source}});
+}
+
+void GatewayContext::ApplyPause(ServerKey key, Duration pause) {
+  const TimePoint now = MonotonicNow();
+  const BackendServerState* server = server_table.Find(key);
+  if (server == nullptr) return;
+  // One line for each pause, not for each response during it.
+  if (!server_table.is_held_back(key, now)) {
+    log->Record(EventId::kServerPaused,
+                {{"server", server->registration.id.value()},
+                 {"pause_ms",
+                  std::chrono::duration_cast<std::chrono::milliseconds>(pause)
+                      .count()}});
+  }
+  server_table.OnPause(key, pause, now);
 }
 
 }  // namespace dogwood
--- a/Services/Gateway/gateway_context.h
+++ b/Services/Gateway/gateway_context.h
@@ -44,10 +44,12 @@
             settings.platform_limits.retry_budget_extra};
   }
 
-  // Applies what a backend server's response asks for and logs when a limit
-  // begins or ends. `source` is the host that received the response.
+  // Applies what a backend server's response asks for and logs when that
+  // changes. `source` is the host that received the response.
   void ApplyDirectives(ServerKey server, const ServerDirectives& directives,
                        std::string_view source);
+  // Applies and logs that a backend server wants nothing from this host.
+  void ApplyPause(ServerKey server, Duration pause);
 
   boost::asio::io_context& io_context;
   platform::HostSettings settings;
--- a/Services/Gateway/gateway_metrics.h
+++ b/Services/Gateway/gateway_metrics.h
@@ -39,6 +39,8 @@
             registry.FindOrCreateGauge("dogwood_store_age_milliseconds")),
         live_hosts(registry.FindOrCreateGauge("dogwood_live_hosts")),
         usable_servers(registry.FindOrCreateGauge("dogwood_usable_servers")),
+        requests_held_back(
+            registry.FindOrCreateCounter("dogwood_requests_held_back_total")),
         limited_servers(registry.FindOrCreateGauge("dogwood_limited_servers")),
         refused_fingerprints(
             registry.FindOrCreateGauge("dogwood_refused_fingerprints")),
@@ -65,6 +67,7 @@
   Gauge& store_age_ms;
   Gauge& live_hosts;
   Gauge& usable_servers;
+  Counter& requests_held_back;  // from servers that want none of this host
   Gauge& limited_servers;
   Gauge& refused_fingerprints;  // of requests that crash servers
   LatencyHistogram& request_duration;
--- a/Services/Gateway/health_checker.cc
+++ b/Services/Gateway/health_checker.cc
@@ -48,6 +48,7 @@
 bool HealthChecker::is_check_due(const BackendServerState& server,
                                  TimePoint now) const {
   if (checks_in_flight_.contains(server.key)) return false;
+  if (context_.server_table.is_held_back(server.key, now)) return false;
   if (server.registration.availability != ServerAvailability::kReady ||
       server.is_misdirected)
     return false;
@@ -198,8 +199,11 @@
   }
   context_.server_table.OnReport(key, ReportSource::kHealthCheck, load,
                                  headers.cold_left, now);
-  context_.ApplyDirectives(key, {headers.max_requests_per_second},
-                           context_.settings.ip);
+  ServerDirectives directives{headers.max_requests_per_second};
+  if (headers.is_leaving)
+    directives.leaving_started_at_ms = server->registration.started_at_ms;
+  context_.ApplyDirectives(key, directives, context_.settings.ip);
+  if (headers.pause) context_.ApplyPause(key, *headers.pause);
 }
 
 }  // namespace dogwood
--- a/Services/Gateway/request_forwarder.cc
+++ b/Services/Gateway/request_forwarder.cc
@@ -133,6 +133,10 @@
   dispatch_request.arrived_at = MonotonicNow();
   dispatch_request.body_bytes = request.body.size();
   dispatch_request.excluded = state.tried_servers;
+  for (const ServerKey server : context_.server_table.HeldBackServers(
+           state.service, dispatch_request.arrived_at)) {
+    dispatch_request.excluded.push_back(server);
+  }
   dispatch_request.retry_safety = state.route.retry_safety;
   return dispatch_request;
 }
@@ -160,6 +164,12 @@
   for (;;) {
     if (poison_request_guard_.is_refused(state.fingerprint, MonotonicNow()))
       co_return RejectCrashingRequest(state);
+    const auto hold_time_left =
+        context_.server_table.HoldTimeLeft(state.service, MonotonicNow());
+    if (hold_time_left) {
+      co_return RejectRequest(state, "all backend servers want no requests",
+                              std::nullopt, hold_time_left);
+    }
     DispatchRequest dispatch_request = MakeDispatchRequest(state);
     const std::uint64_t request_number = dispatch_request.request_number;
     ServerSelector::PendingSelection pending_selection(
@@ -229,9 +239,16 @@
     attempt.outcome = AttemptOutcome::kUnreachable;
     co_return attempt;
   }
+  const TimePoint started_at = MonotonicNow();
+  // The server may have asked for this while the request was queued.
+  if (context_.server_table.is_held_back(selection.server, started_at)) {
+    context_.metrics.requests_held_back.Add();
+    attempt.outcome = AttemptOutcome::kHeldBack;
+    attempt.directives = server->directives;
+    co_return attempt;
+  }
   // A copy, because the table may remove the server during the attempt.
   const BackendServerState server_copy = *server;
-  const TimePoint started_at = MonotonicNow();
   auto connection = connection_pool_.Acquire(
       selection.server, state.route.retry_safety, started_at);
   if (!connection->has_completed_exchange) {
@@ -357,8 +374,13 @@
   }
   if (response.status != kMisdirected) {
     attempt.directives = ServerDirectives{headers.max_requests_per_second};
-    context_.ApplyDirectives(ServerKeyOf(server.registration.id),
-                             *attempt.directives, context_.settings.ip);
+    if (headers.is_leaving) {
+      attempt.directives->leaving_started_at_ms =
+          server.registration.started_at_ms;
+    }
+    const ServerKey key = ServerKeyOf(server.registration.id);
+    context_.ApplyDirectives(key, *attempt.directives, context_.settings.ip);
+    if (headers.pause) context_.ApplyPause(key, *headers.pause);
   }
   if (response.status == kMisdirected) return AttemptOutcome::kMisdirected;
   if (headers.is_not_run) return AttemptOutcome::kNotRun;
@@ -386,6 +408,7 @@
     case AttemptOutcome::kAbandoned:
       return false;
     case AttemptOutcome::kUnreachable:
+    case AttemptOutcome::kHeldBack:
       return ++state.connect_failure_count < kMaxConnectFailures &&
              now < state.deadline;
     case AttemptOutcome::kNotRun:
--- a/Services/Gateway/request_forwarder.h
+++ b/Services/Gateway/request_forwarder.h
@@ -155,10 +155,12 @@
   // `phase` tells the log what the request was waiting for.
   CallerResponse HandleCallerDisconnect(const RequestState& state,
                                         std::string_view phase);
-  // `best_selection` is the best one found, if any, for the log.
+  // `best_selection` is the best one found, if any, for the log. Without
+  // `retry_after`, the caller is told to return within its time left.
   CallerResponse RejectRequest(
       const RequestState& state, std::string_view reason,
-      const std::optional<ServerSelection>& best_selection);
+      const std::optional<ServerSelection>& best_selection,
+      std::optional<Duration> retry_after = {});
   CallerResponse RejectCrashingRequest(const RequestState& state);
   void LogOutcome(const RequestState& state, const CallerResponse& response,
                   const ServerSelection& selection);
--- a/Services/Gateway/request_forwarder_responses.cc
+++ b/Services/Gateway/request_forwarder_responses.cc
@@ -79,15 +79,21 @@
 
 CallerResponse RequestForwarder::RejectRequest(
     const RequestState& state, std::string_view reason,
-    const std::optional<ServerSelection>& best_selection) {
+    const std::optional<ServerSelection>& best_selection,
+    std::optional<Duration> known_retry_after) {
   const TimePoint now = MonotonicNow();
   const CallerRequest& request = state.request;
   const Duration time_left =
       request.caller_headers.timeout.value_or(kDefaultTimeout) -
       (now - request.arrived_at);
   std::uniform_real_distribution<double> draw(0, 1);
+  const double spread = draw(context_.random_engine);
+  // Callers that wait for the same moment return over kMinRetryAfter.
   const Duration retry_after =
-      AdmissionControl::RetryAfter(time_left, draw(context_.random_engine));
+      known_retry_after
+          ? *known_retry_after + std::chrono::duration_cast<Duration>(
+                                     spread * AdmissionControl::kMinRetryAfter)
+          : AdmissionControl::RetryAfter(time_left, spread);
   const auto occupancy = context_.server_table.OccupancyOf(
       state.service, now, TypicalServiceTime(state.route));
   context_.metrics.requests_refused.Add();
--- a/Tests/Libraries/Balancing/peer_message_test.cc
+++ b/Tests/Libraries/Balancing/peer_message_test.cc
@@ -89,7 +89,8 @@
              .load.has_value());
   CHECK(RoundTrip(SelectionCancellation{9}).request_number == 9);
   for (const ServerDirectives& directives :
-       {ServerDirectives{}, ServerDirectives{1.125}, ServerDirectives{0.0}}) {
+       {ServerDirectives{}, ServerDirectives{1.125}, ServerDirectives{0.0},
+        ServerDirectives{{}, 17}}) {
     SelectionCompletion limited{9, ServerKey(5), AttemptOutcome::kSucceeded};
     limited.directives = directives;
     CHECK(RoundTrip(limited).directives == directives);
--- a/Tests/Libraries/Balancing/server_table_test.cc
+++ b/Tests/Libraries/Balancing/server_table_test.cc
@@ -353,5 +353,72 @@
         doctest::Approx(0.5));
 }
 
+ServerDirectives Leaving(std::uint64_t started_at_ms) {
+  return {{}, started_at_ms};
+}
+
+// Guards against requests to a server that has said that it is leaving, also
+// when its entry lapses and returns while the store is down.
+TEST_CASE("A leaving server gets nothing until another process has its id") {
+  Fixture fixture;
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  fixture.table.Replace({MakeServer("a")}, kStart);
+  CHECK(fixture.table.OnDirectives(key, Leaving(1), kStart));
+  CHECK_FALSE(fixture.table.OnDirectives(key, Leaving(1), kStart));
+  CHECK(fixture.SelectServer(kStart) == "none");
+  // A response without the field, and an entry that lapses and returns.
+  fixture.table.OnDirectives(key, {}, kStart + 1s);
+  fixture.table.Replace({}, kStart + 2s);
+  fixture.table.Replace({MakeServer("a")}, kStart + 3s);
+  CHECK(fixture.SelectServer(kStart + 3s) == "none");
+  CHECK(fixture.table.is_held_back(key, kStart + 3s));
+  ServerRegistration restarted = MakeServer("a");
+  restarted.started_at_ms = 2;
+  fixture.table.Replace({restarted}, kStart + 4s);
+  CHECK(fixture.SelectServer(kStart + 4s) == "a");
+  // A late report about the earlier process.
+  fixture.table.OnDirectives(key, Leaving(1), kStart + 5s);
+  CHECK(fixture.SelectServer(kStart + 5s) == "a");
+}
+
+TEST_CASE("Other hosts learn that a server is leaving") {
+  Fixture here;
+  Fixture there;
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  for (Fixture* fixture : {&here, &there}) {
+    fixture->table.Replace({MakeServer("a")}, kStart);
+    ReportIdle(fixture->table, "a", kStart);
+  }
+  there.table.OnDirectives(key, Leaving(1), kStart + 100ms);
+  ReportIdle(there.table, "a", kStart + 100ms);
+  const auto news = there.table.TakeUnpublishedObservations(10, kStart + 200ms);
+  REQUIRE(news.size() == 1);
+  here.table.Merge(news[0], kStart + 200ms);
+  CHECK(here.SelectServer(kStart + 200ms) == "none");
+}
+
+// Guards against requests to a server that wants nothing from this host for a
+// time, and against one that is lost for good.
+TEST_CASE("A paused server is held back until the end of the pause") {
+  Fixture fixture;
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  fixture.table.Replace({MakeServer("a"), MakeServer("b")}, kStart);
+  fixture.table.OnPause(key, 4s, kStart);
+  fixture.table.OnPause(key, 1s, kStart + 1s);
+  CHECK(fixture.table.HeldBackServers(kTracking, kStart + 1s) ==
+        std::vector<ServerKey>{key});
+  CHECK(!fixture.table.HoldTimeLeft(kTracking, kStart + 1s).has_value());
+  fixture.table.OnPause(ServerKeyOf(ServerId("b")), 2s, kStart + 1s);
+  CHECK(fixture.table.HoldTimeLeft(kTracking, kStart + 1s) == Duration(2s));
+  // The entry lapses and returns.
+  fixture.table.Replace({}, kStart + 2s);
+  fixture.table.Replace({MakeServer("a")}, kStart + 3s);
+  CHECK(fixture.table.is_held_back(key, kStart + 3999ms));
+  CHECK_FALSE(fixture.table.is_held_back(key, kStart + 4s));
+  CHECK(fixture.table.HeldBackServers(kTracking, kStart + 4s).empty());
+  CHECK(!fixture.table.HoldTimeLeft(kTracking, kStart + 4s).has_value());
+  CHECK(!fixture.table.HoldTimeLeft(ServiceId("other"), kStart).has_value());
+}
+
 }  // namespace
 }  // namespace dogwood
--- a/Tests/Services/Gateway/gateway_fixture.h
+++ b/Tests/Services/Gateway/gateway_fixture.h
@@ -81,8 +81,10 @@
     gateways_.push_back(MakeGateway(address_, other_address_));
   }
 
-  // Sends later requests of the fixture to the other of two hosts.
-  void SwitchHost() { std::swap(address_, other_address_); }
+  // Sends later requests of the fixture to the other host if there are two.
+  void SwitchHost() {
+    if (!other_address_.empty()) std::swap(address_, other_address_);
+  }
 
   bool is_ready() {
     return SendRaw(kReadinessPort,
--- a/Tests/platform/platform_headers_test.cc
+++ b/Tests/platform/platform_headers_test.cc
@@ -44,6 +44,39 @@
   }
 }
 
+// Guards against a pause that is read from another status, or from text that is
+// no number of seconds.
+TEST_CASE("A pause is the Retry-After of a 503, in seconds") {
+  const auto parse = [](unsigned status, std::string_view text) {
+    MessageHead head;
+    head.status = status;
+    head.AddField("Retry-After", text);
+    return ParseServerHeaders(head).pause;
+  };
+  CHECK(parse(503, "2") == std::chrono::seconds(2));
+  CHECK(parse(503, "0.25") == std::chrono::milliseconds(250));
+  CHECK(!parse(429, "2").has_value());
+  for (const std::string_view text :
+       {"", "x", "-1", "nan", "inf", "1e300", "1e9", "1 2",
+        "Sat, 05 Dec 2026 07:00:00 GMT"}) {
+    CAPTURE(text);
+    CHECK(!parse(503, text).has_value());
+  }
+}
+
+TEST_CASE("A leaving server says so with the value 1") {
+  const auto parse = [](std::string_view text) {
+    MessageHead head;
+    head.status = 200;
+    head.AddField("Server-Leaving", text);
+    return ParseServerHeaders(head).is_leaving;
+  };
+  CHECK(parse("1"));
+  CHECK_FALSE(parse("0"));
+  CHECK_FALSE(parse(""));
+  CHECK_FALSE(ParseServerHeaders(MessageHead()).is_leaving);
+}
+
 // Guards against a server that gets nothing, or everything, for a limit that
 // can't be read.
 TEST_CASE("A limit is a decimal number of requests, anything else is none") {
