Soak: Let servers name a limit, leave and pause, and judge the first two

The stand-in servers sent none of the three signals. In the recovery phase one server now names a limit of 10 requests a second and one says that it is leaving while its entry says ready; DirectiveCheck judges the users' bounds from what the servers get. Refusals during the faults name a pause in half of the cases, which is played but not judged: a server behind a proxy cannot tell the hosts apart.

--- a/Tests/Soak/invariant_checker.h
+++ b/Tests/Soak/invariant_checker.h
@@ -19,9 +19,11 @@
   kDrainedServerIsIdle,    // a drained backend server gets no requests
   kGracefulStopLosesNothing,  // a graceful stop loses no running request
   kServesWithoutFaults,       // callers are served once all faults have ended
+  kLimitIsKept,               // a server gets no more than the limit it names
+  kLeavingServerIsIdle,  // a server that says it is leaving gets no requests
 };
 
-inline constexpr EnumNames<Invariant, 8> kInvariantNames{{{
+inline constexpr EnumNames<Invariant, 10> kInvariantNames{{{
     {Invariant::kRunsAtMostOnce, "request ran twice"},
     {Invariant::kRunsOnlyAsSent, "unknown or modified request ran"},
     {Invariant::kNotRunIsTrue, "request ran although reported as not run"},
@@ -31,6 +33,8 @@
     {Invariant::kGracefulStopLosesNothing, "request lost in a graceful stop"},
     {Invariant::kServesWithoutFaults,
      "too few requests served after the faults"},
+    {Invariant::kLimitIsKept, "more requests than the server's limit"},
+    {Invariant::kLeavingServerIsIdle, "request sent to a leaving server"},
 }}};
 
 // A request as a caller sent it or as a backend server received it.
--- a/Tests/Soak/soak_runner.cc
+++ b/Tests/Soak/soak_runner.cc
@@ -159,10 +159,14 @@
                                        const ReceivedRequest& request) {
   const auto index = static_cast<std::size_t>(server);
   const bool is_probe = request.target.starts_with("/v/");
-  ScriptedResponse response{
-      ScriptedBackendServer::OkResponse(request, ResponseBody(request.id)),
-      ConnectionAction::kKeep,
-      RandomDuration(kMinResponseTime, kMaxResponseTime)};
+  const std::string directives =
+      is_recovery_phase_
+          ? directive_check_.OnRequest(server, request.id, MonotonicNow())
+          : "";
+  ScriptedResponse response{ScriptedBackendServer::OkResponse(
+                                request, ResponseBody(request.id), directives),
+                            ConnectionAction::kKeep,
+                            RandomDuration(kMinResponseTime, kMaxResponseTime)};
   const TimePoint draining_since = draining_since_[index];
   if (is_recovery_phase_ && draining_since != TimePoint{} &&
       MonotonicNow() - draining_since > kDrainDeadline) {
@@ -177,7 +181,9 @@
     // The server sheds the request.
     response.bytes =
         "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: " + request.id +
-        "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        "\r\nX-Not-Executed: 1\r\n" +
+        (RandomBelow(2) == 0 ? "Retry-After: 0.5\r\n" : "") +
+        "Content-Length: 0\r\n\r\n";
     return response;
   }
   checker_.OnRequestRun(
@@ -364,6 +370,7 @@
   checker_.BeginRecoveryPhase();
   co_await Sleep(kRecoveryInterval);
   Log("graceful stop of " + gateways_.back()->address());
+  directive_check_.OnHostStopped();
   gateways_.back()->SendSignal(SIGTERM);
   co_await Sleep(2 * kRecoveryInterval);
   is_recovery_phase_ = false;
--- a/Tests/Soak/soak_runner.h
+++ b/Tests/Soak/soak_runner.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "Tests/Soak/directive_check.h"
 #include "Tests/Soak/fault_proxy.h"
 #include "Tests/Soak/gateway_process.h"
 #include "Tests/Soak/invariant_checker.h"
@@ -92,6 +93,7 @@
   boost::asio::io_context io_;
   std::mt19937_64 random_;
   InvariantChecker checker_;
+  DirectiveCheck directive_check_{checker_};
   FakeStoreServer store_;
   // Listens while this process uses its address block.
   boost::asio::ip::tcp::acceptor address_block_lock_;
