Balancing: Keep a limit past health checks that name none

Events 3005 and 3006 of the hosts alternate each second, 3006 always with the host itself as source: the stand-in names its limit in responses to requests but not to health checks, and each health check ended the limit until the next response.

A response to a request ends a limit at once, as before. One to a health check ends it only when it was not named for 2 s, or for the time of two requests under it, at most 10 s.

--- a/Libraries/Balancing/server_table.cc
+++ b/Libraries/Balancing/server_table.cc
@@ -289,18 +289,38 @@
 
 bool ServerTable::OnDirectives(ServerKey key,
                                const ServerDirectives& directives,
-                               TimePoint now) {
+                               ReportSource source, TimePoint now) {
   BackendServerState* server = FindMutable(key);
   if (server == nullptr) return false;
-  const bool was_limited =
-      server->directives.max_requests_per_second.has_value();
+  const auto old_limit = server->directives.max_requests_per_second;
   const bool was_leaving = is_leaving(*server);
-  if (server->directives != directives) server->has_unpublished_change = true;
-  ApplyDirectives(*server, directives, now);
-  return was_limited != directives.max_requests_per_second.has_value() ||
+  ServerDirectives applied = directives;
+  if (directives.max_requests_per_second) {
+    server->limit_named_at = now;
+  } else if (source == ReportSource::kHealthCheck &&
+             is_limit_held(*server, now)) {
+    applied.max_requests_per_second = old_limit;
+  }
+  if (server->directives != applied) server->has_unpublished_change = true;
+  ApplyDirectives(*server, applied, now);
+  return old_limit.has_value() != applied.max_requests_per_second.has_value() ||
          was_leaving != is_leaving(*server);
 }
 
+bool ServerTable::is_limit_held(const BackendServerState& server,
+                                TimePoint now) {
+  const auto limit = server.directives.max_requests_per_second;
+  if (!limit) return false;
+  constexpr double kRequestsUnderLimit = 2;
+  const double max_hold = std::chrono::duration<double>(kMaxLimitHold).count();
+  const double hold =
+      std::min(max_hold, *limit > 0 ? kRequestsUnderLimit / *limit : max_hold);
+  return now - server.limit_named_at <
+         std::max<Duration>(kMinLimitHold,
+                            std::chrono::duration_cast<Duration>(
+                                std::chrono::duration<double>(hold)));
+}
+
 void ServerTable::ApplyDirectives(BackendServerState& server,
                                   const ServerDirectives& directives,
                                   TimePoint now) {
--- a/Libraries/Balancing/server_table.h
+++ b/Libraries/Balancing/server_table.h
@@ -65,6 +65,10 @@
 
   // How long a hold on a server outlives its registration.
   static constexpr Duration kHoldRetention = std::chrono::minutes(10);
+  // A response to a health check that names no limit ends one only when it was
+  // not named for kMinLimitHold, or for the time of two requests under it.
+  static constexpr Duration kMinLimitHold = std::chrono::seconds(2);
+  static constexpr Duration kMaxLimitHold = std::chrono::seconds(10);
   // Longest time for which unused requests of a limited server are kept.
   static constexpr Duration kMaxLimitedBurst = std::chrono::milliseconds(250);
 
@@ -100,7 +104,7 @@
   // Applies what a response that this host has just received asks for. Returns
   // whether a limit has begun or ended, or the server has begun to leave.
   bool OnDirectives(ServerKey server, const ServerDirectives& directives,
-                    TimePoint now);
+                    ReportSource source, TimePoint now);
   // The server wants nothing from this host for `pause`.
   void OnPause(ServerKey server, Duration pause, TimePoint now);
   // Whether this host must not send to the server, because it is leaving or
@@ -172,6 +176,8 @@
   ServerHold& FindOrAddHold(const BackendServerState& server, TimePoint now);
   // Forgets holds on servers that have been gone for kHoldRetention.
   void RemoveOldHolds(TimePoint now);
+  // Whether the limit of a server outlives a health check that names none.
+  static bool is_limit_held(const BackendServerState& server, TimePoint now);
   void ApplyDirectives(BackendServerState& server,
                        const ServerDirectives& directives, TimePoint now);
   static void RequireHealthCheck(BackendServerState& server, TimePoint now);
--- a/Services/Gateway/gateway_context.cc
+++ b/Services/Gateway/gateway_context.cc
@@ -4,12 +4,16 @@
 
 void GatewayContext::ApplyDirectives(ServerKey key,
                                      const ServerDirectives& directives,
+                                     ReportSource report_source,
                                      std::string_view source) {
-  if (!server_table.OnDirectives(key, directives, MonotonicNow())) return;
+  if (!server_table.OnDirectives(key, directives, report_source,
+                                 MonotonicNow())) {
+    return;
+  }
   metrics.limited_servers.Set(
       static_cast<std::int64_t>(server_table.LimitedServerCount()));
   const BackendServerState* server = server_table.Find(key);
-  const auto limit = directives.max_requests_per_second;
+  const auto limit = server->directives.max_requests_per_second;
   const EventId event = directives.leaving_started_at_ms
                             ? EventId::kServerLeaving
                         : limit ? EventId::kServerLimited
--- a/Services/Gateway/gateway_context.h
+++ b/Services/Gateway/gateway_context.h
@@ -47,7 +47,7 @@
   // Applies what a backend server's response asks for and logs when that
   // changes. `source` is the host that received the response.
   void ApplyDirectives(ServerKey server, const ServerDirectives& directives,
-                       std::string_view source);
+                       ReportSource report_source, std::string_view source);
   // Applies and logs that a backend server wants nothing from this host.
   void ApplyPause(ServerKey server, Duration pause);
 
--- a/Services/Gateway/health_checker.cc
+++ b/Services/Gateway/health_checker.cc
@@ -202,7 +202,8 @@
   ServerDirectives directives{headers.max_requests_per_second};
   if (headers.is_leaving)
     directives.leaving_started_at_ms = server->registration.started_at_ms;
-  context_.ApplyDirectives(key, directives, context_.settings.ip);
+  context_.ApplyDirectives(key, directives, ReportSource::kHealthCheck,
+                           context_.settings.ip);
   if (headers.pause) context_.ApplyPause(key, *headers.pause);
 }
 
--- a/Services/Gateway/request_forwarder.cc
+++ b/Services/Gateway/request_forwarder.cc
@@ -379,7 +379,8 @@
           server.registration.started_at_ms;
     }
     const ServerKey key = ServerKeyOf(server.registration.id);
-    context_.ApplyDirectives(key, *attempt.directives, context_.settings.ip);
+    context_.ApplyDirectives(key, *attempt.directives, ReportSource::kResponse,
+                             context_.settings.ip);
     if (headers.pause) context_.ApplyPause(key, *headers.pause);
   }
   if (response.status == kMisdirected) return AttemptOutcome::kMisdirected;
--- a/Services/Gateway/server_selector.cc
+++ b/Services/Gateway/server_selector.cc
@@ -138,7 +138,8 @@
                                    *completion.load, {}, now);
   }
   if (completion.directives)
-    context_.ApplyDirectives(completion.server, *completion.directives, host);
+    context_.ApplyDirectives(completion.server, *completion.directives,
+                             ReportSource::kResponse, host);
   context_.server_table.OnServiceTimeRatio(completion.server,
                                            completion.service_time_ratio,
                                            completion.was_above_knee);
--- a/Tests/Libraries/Balancing/server_table_test.cc
+++ b/Tests/Libraries/Balancing/server_table_test.cc
@@ -274,14 +274,17 @@
   const ServerKey key = ServerKeyOf(ServerId("a"));
   ReportIdle(fixture.table, "a", kStart);
   CHECK(CountSent(fixture, kStart, 1s, false) == 100);
-  CHECK(fixture.table.OnDirectives(key, {5.0}, kStart + 1s));
-  CHECK_FALSE(fixture.table.OnDirectives(key, {5.0}, kStart + 1s));
+  CHECK(fixture.table.OnDirectives(key, {5.0}, ReportSource::kResponse,
+                                   kStart + 1s));
+  CHECK_FALSE(fixture.table.OnDirectives(key, {5.0}, ReportSource::kResponse,
+                                         kStart + 1s));
   CHECK(fixture.table.LimitedServerCount() == 1);
   CHECK(CountSent(fixture, kStart + 1s, 4s, false) == 0);
   const int sent = CountSent(fixture, kStart + 5s, 4s, true);
   CHECK(sent >= 19);
   CHECK(sent <= 22);
-  CHECK(fixture.table.OnDirectives(key, {}, kStart + 9s));
+  CHECK(fixture.table.OnDirectives(key, {}, ReportSource::kResponse,
+                                   kStart + 9s));
   CHECK(CountSent(fixture, kStart + 9s, 1s, false) == 100);
 }
 
@@ -290,7 +293,7 @@
   Fixture fixture;
   fixture.table.Replace({MakeServer("a")}, kStart);
   const ServerKey key = ServerKeyOf(ServerId("a"));
-  fixture.table.OnDirectives(key, {5.0}, kStart);
+  fixture.table.OnDirectives(key, {5.0}, ReportSource::kResponse, kStart);
   CountSent(fixture, kStart, 1s, true);
   for (int i = 0; i < 10; ++i) fixture.table.OnHealthCheckSent(key);
   CHECK(CountSent(fixture, kStart + 1s, 2s, true) <= 2);
@@ -302,9 +305,9 @@
   Fixture fixture;
   fixture.table.Replace({MakeServer("a")}, kStart);
   const ServerKey key = ServerKeyOf(ServerId("a"));
-  fixture.table.OnDirectives(key, {0.0}, kStart);
+  fixture.table.OnDirectives(key, {0.0}, ReportSource::kResponse, kStart);
   CHECK(CountSent(fixture, kStart, 10s, true) == 0);
-  fixture.table.OnDirectives(key, {}, kStart + 10s);
+  fixture.table.OnDirectives(key, {}, ReportSource::kResponse, kStart + 10s);
   CHECK(CountSent(fixture, kStart + 10s, 1s, true) == 100);
 }
 
@@ -313,7 +316,8 @@
 TEST_CASE("A server that has started again has no limit") {
   Fixture fixture;
   fixture.table.Replace({MakeServer("a")}, kStart);
-  fixture.table.OnDirectives(ServerKeyOf(ServerId("a")), {1.0}, kStart);
+  fixture.table.OnDirectives(ServerKeyOf(ServerId("a")), {1.0},
+                             ReportSource::kResponse, kStart);
   ServerRegistration restarted = MakeServer("a");
   restarted.started_at_ms = 2;
   fixture.table.Replace({restarted}, kStart + 1s);
@@ -330,13 +334,13 @@
     fixture->table.Replace({MakeServer("a")}, kStart);
     ReportIdle(fixture->table, "a", kStart);
   }
-  there.table.OnDirectives(key, {5.0}, kStart + 100ms);
+  there.table.OnDirectives(key, {5.0}, ReportSource::kResponse, kStart + 100ms);
   ReportIdle(there.table, "a", kStart + 100ms);
   const auto news = there.table.TakeUnpublishedObservations(10, kStart + 200ms);
   REQUIRE(news.size() == 1);
   here.table.Merge(news[0], kStart + 200ms);
   CHECK(here.table.LimitedServerCount() == 1);
-  here.table.OnDirectives(key, {}, kStart + 300ms);
+  here.table.OnDirectives(key, {}, ReportSource::kResponse, kStart + 300ms);
   here.table.Merge(news[0], kStart + 300ms);
   CHECK(here.table.LimitedServerCount() == 0);
 }
@@ -348,7 +352,7 @@
   const ServerKey key = ServerKeyOf(ServerId("a"));
   ReportIdle(fixture.table, "a", kStart);
   CHECK(fixture.table.OccupancyOf(kTracking, kStart, 100ms).fast_slots == 6);
-  fixture.table.OnDirectives(key, {5.0}, kStart);
+  fixture.table.OnDirectives(key, {5.0}, ReportSource::kResponse, kStart);
   CHECK(fixture.table.OccupancyOf(kTracking, kStart, 100ms).fast_slots ==
         doctest::Approx(0.5));
 }
@@ -363,11 +367,13 @@
   Fixture fixture;
   const ServerKey key = ServerKeyOf(ServerId("a"));
   fixture.table.Replace({MakeServer("a")}, kStart);
-  CHECK(fixture.table.OnDirectives(key, Leaving(1), kStart));
-  CHECK_FALSE(fixture.table.OnDirectives(key, Leaving(1), kStart));
+  CHECK(fixture.table.OnDirectives(key, Leaving(1), ReportSource::kResponse,
+                                   kStart));
+  CHECK_FALSE(fixture.table.OnDirectives(key, Leaving(1),
+                                         ReportSource::kResponse, kStart));
   CHECK(fixture.SelectServer(kStart) == "none");
   // A response without the field, and an entry that lapses and returns.
-  fixture.table.OnDirectives(key, {}, kStart + 1s);
+  fixture.table.OnDirectives(key, {}, ReportSource::kResponse, kStart + 1s);
   fixture.table.Replace({}, kStart + 2s);
   fixture.table.Replace({MakeServer("a")}, kStart + 3s);
   CHECK(fixture.SelectServer(kStart + 3s) == "none");
@@ -377,7 +383,8 @@
   fixture.table.Replace({restarted}, kStart + 4s);
   CHECK(fixture.SelectServer(kStart + 4s) == "a");
   // A late report about the earlier process.
-  fixture.table.OnDirectives(key, Leaving(1), kStart + 5s);
+  fixture.table.OnDirectives(key, Leaving(1), ReportSource::kResponse,
+                             kStart + 5s);
   CHECK(fixture.SelectServer(kStart + 5s) == "a");
 }
 
@@ -389,7 +396,8 @@
     fixture->table.Replace({MakeServer("a")}, kStart);
     ReportIdle(fixture->table, "a", kStart);
   }
-  there.table.OnDirectives(key, Leaving(1), kStart + 100ms);
+  there.table.OnDirectives(key, Leaving(1), ReportSource::kResponse,
+                           kStart + 100ms);
   ReportIdle(there.table, "a", kStart + 100ms);
   const auto news = there.table.TakeUnpublishedObservations(10, kStart + 200ms);
   REQUIRE(news.size() == 1);
@@ -420,5 +428,31 @@
   CHECK(!fixture.table.HoldTimeLeft(ServiceId("other"), kStart).has_value());
 }
 
+// Guards against requests without limit after each health check of a server
+// that names its limit only in its responses to requests.
+TEST_CASE("A health check that names no limit does not end one at once") {
+  Fixture fixture;
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  fixture.table.Replace({MakeServer("a")}, kStart);
+  const auto check_without_limit = [&](TimePoint now) {
+    fixture.table.OnDirectives(key, {}, ReportSource::kHealthCheck, now);
+    return fixture.table.LimitedServerCount();
+  };
+  fixture.table.OnDirectives(key, {10.0}, ReportSource::kResponse, kStart);
+  CHECK(check_without_limit(kStart + 1s) == 1);
+  CHECK(check_without_limit(kStart + 2s) == 0);
+  // At one request in 4 s the next response may take longer.
+  fixture.table.OnDirectives(key, {0.25}, ReportSource::kResponse, kStart);
+  CHECK(check_without_limit(kStart + 7s) == 1);
+  CHECK(check_without_limit(kStart + 8s) == 0);
+  fixture.table.OnDirectives(key, {0.0}, ReportSource::kResponse, kStart);
+  CHECK(check_without_limit(kStart + 9s) == 1);
+  CHECK(check_without_limit(kStart + 10s) == 0);
+  // A response to a request ends it.
+  fixture.table.OnDirectives(key, {10.0}, ReportSource::kResponse, kStart);
+  fixture.table.OnDirectives(key, {}, ReportSource::kResponse, kStart + 1ms);
+  CHECK(fixture.table.LimitedServerCount() == 0);
+}
+
 }  // namespace
 }  // namespace dogwood
