Balancing: Encode the directives of a server that asks for nothing in a byte

Each observation of a server carried 7 bytes for its directives (arithmetic: an array, a float and a null in CBOR), also for servers that ask for nothing, which is nearly all of them nearly all the time. They are now one null byte. Decoding is unchanged for servers that ask for something; the round trips of peer_message_test cover both.

--- a/Libraries/Balancing/peer_message.cc
+++ b/Libraries/Balancing/peer_message.cc
@@ -64,8 +64,10 @@
           item.at(5).get<unsigned>()};
 }
 
-// Limits are encoded as they are: hundredths would lose those of slow servers.
+// A server that asks for nothing costs one byte. Limits are encoded as they
+// are: hundredths would lose those of slow servers.
 Json ToJson(const ServerDirectives& directives) {
+  if (directives == ServerDirectives()) return {};
   return Json::array(
       {directives.max_requests_per_second.value_or(kNoRequestLimit),
        directives.leaving_started_at_ms
@@ -75,6 +77,7 @@
 
 ServerDirectives ParseDirectives(const Json& item) {
   ServerDirectives directives;
+  if (item.is_null()) return directives;
   const auto limit = item.at(0).get<double>();
   if (limit >= 0) directives.max_requests_per_second = limit;
   if (!item.at(1).is_null())
