--- a/Tests/platform/routing_configuration_decoder_test.cc
+++ b/Tests/platform/routing_configuration_decoder_test.cc
@@ -136,8 +136,7 @@
   CHECK(!ParseEvacuationKey("evacuate/").has_value());
 }
 
-std::string RegistrationWith(const std::string& address,
-                             const std::string& seq,
+std::string RegistrationWith(const std::string& address, const std::string& seq,
                              const std::string& extra) {
   return R"({"address":")" + address +
          R"(","born":1,"info":{"service":"s","zone":"z","slots":6)" + extra +
