--- a/Tests/Soak/directive_check.cc
+++ b/Tests/Soak/directive_check.cc
@@ -26,7 +26,13 @@
       std::chrono::duration<double>(kLimitWindow).count();
   const double allowed = kLimitFactor * kLimit * kWindowSeconds + kLimitExcess;
   const auto count = static_cast<double>(limited_requests_.size());
-  if (count > allowed) checker_.OnViolation(Invariant::kLimitIsKept, id);
+  if (count <= allowed) return;
+  const double seconds =
+      std::chrono::duration<double>(now - limited_since_).count();
+  checker_.OnViolation(Invariant::kLimitIsKept,
+                       id + ", " + std::to_string(limited_requests_.size()) +
+                           " requests, " + std::to_string(seconds) +
+                           " s after the first response");
 }
 
 void DirectiveCheck::OnRequestToLeavingServer(const std::string& id,
