Balancing: Hand over the roles of a host that shuts down

Cause: a host that drains ranked itself for its zone's roles until it exited, while the other hosts had already taken its roles over. For up to 3.5 s two dispatchers used the rate of one cold or limited server. A host without a live one in its zone keeps them.

--- a/Libraries/Balancing/peer_table.cc
+++ b/Libraries/Balancing/peer_table.cc
@@ -150,7 +150,8 @@
                                                    const ZoneId& zone,
                                                    std::size_t count,
                                                    TimePoint now) const {
-  const bool is_own = zone == own_zone_;
+  const bool is_own =
+      zone == own_zone_ && !(is_draining_ && has_live_host(zone, now));
   unsigned greatest_capacity = is_own ? own_capacity_ : 0;
   for (const auto& [ip, peer] : peers_) {
     if (peer.zone == zone && is_live(peer, now))
@@ -239,7 +240,7 @@
   const std::uint64_t own = CombineHashes(own_hash_, task);
   for (const auto& [ip, peer] : peers_) {
     if (!is_live(peer, now)) continue;
-    if (peer.zone == zone || CombineHashes(peer.hash, task) > own) return false;
+    if (is_draining_ || peer.zone == zone || CombineHashes(peer.hash, task) > own) return false;
   }
   return true;
 }
--- a/Libraries/Balancing/peer_table.h
+++ b/Libraries/Balancing/peer_table.h
@@ -51,6 +51,10 @@
   PeerTable(std::string own_ip, ZoneId own_zone, unsigned own_capacity,
             TimePoint started_at);
 
+  // Gives up the roles of this host, which is shutting down: they pass to the
+  // live hosts of its zone. It keeps them while its zone has no other one.
+  void BeginDraining() { is_draining_ = true; }
+
   // Merges a gossiped record. Returns whether the host is new, restarted or
   // live again after a silence.
   bool Merge(const PeerRecord& peer, TimePoint now);
@@ -123,7 +127,8 @@
 
   bool is_live(const Peer& peer, TimePoint now) const;
   // The `count` live hosts of a zone with the greatest rendezvous weight among
-  // those with sufficient capacity.
+  // those with sufficient capacity. Includes this host while it drains only if
+  // its zone has no other one.
   std::vector<std::string> TopRankedHosts(std::uint64_t task,
                                           const ZoneId& zone, std::size_t count,
                                           TimePoint now) const;
@@ -134,6 +139,7 @@
   unsigned own_capacity_;
   std::uint64_t own_hash_;
   TimePoint started_at_;
+  bool is_draining_ = false;
   TimePoint pruned_at_{};
   std::map<std::string, Peer> peers_;
 };
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -214,6 +214,7 @@
       stop_requested_at + context_.settings.platform_limits.shutdown_grace -
       kShutdownReserve;
   context_.serving_state = ServingState::kDraining;
+  context_.peer_table.BeginDraining();
   messenger_.AnnounceDraining();
   asio::steady_timer timer(io_context_);
   bool has_closed_idle = false;
--- a/Tests/Libraries/Balancing/peer_table_test.cc
+++ b/Tests/Libraries/Balancing/peer_table_test.cc
@@ -51,6 +51,25 @@
   }
 }
 
+// Guards against two hosts that use the rate of one cold or limited server: a
+// host that shuts down, and the one that has taken over its roles.
+TEST_CASE("A draining host has no roles while its zone has another host") {
+  BackendServerState server;
+  server.registration = MakeServer("a");
+  const TimePoint later = kStart + PeerTable::kConvergenceTime;
+  PeerTable table("10.0.0.1", kPalermo, 50, kStart);
+  table.Merge(MakePeer("10.1.0.1", kCatania), later);
+  table.BeginDraining();
+  REQUIRE(table.has_exclusive_use(server, later));
+  REQUIRE(table.is_gossip_relay(later));
+  CHECK(!table.is_monitoring(kTracking, ZoneId("messina"), later));
+  // The other host takes over even if it is small.
+  table.Merge(MakePeer("10.0.0.2"), later);
+  CHECK(table.DispatcherFor(kTracking, kPalermo, later) == "10.0.0.2");
+  CHECK(!table.has_exclusive_use(server, later));
+  CHECK(!table.is_gossip_relay(later));
+}
+
 // Guards against records of a host's former process that arrive after those of
 // the new one.
 TEST_CASE("Records of an older incarnation are ignored") {
