Balancing: Keep a limit that another host has reported

Cause: a health check that names no limit ends one that was not named for 2 s, but only responses to this host counted as naming it. A dispatcher that knew a limit by gossip, such as one that had just taken over, ended it with its first health check. Before: the new test finds no limit after the check. After: it passes.

--- a/Libraries/Balancing/backend_server_state.h
+++ b/Libraries/Balancing/backend_server_state.h
@@ -86,7 +86,7 @@
 
   ServerDirectives directives;
   TimePoint directives_reported_at{};
-  TimePoint limit_named_at{};    // in a response to this host
+  TimePoint limit_named_at{};    // in a response to any host
   TokenBucket limited_requests;  // that may be sent now under its limit
 
   TimePoint last_heard_at{};            // last sign of life seen by any host
--- a/Libraries/Balancing/server_table.cc
+++ b/Libraries/Balancing/server_table.cc
@@ -310,6 +310,8 @@
   }
   if (server->directives_reported_at < taken_at &&
       !observation.is_unreachable) {
+    if (observation.directives.max_requests_per_second)
+      server->limit_named_at = std::max(server->limit_named_at, taken_at);
     ApplyDirectives(*server, observation.directives, taken_at);
   }
   if (observation.failure_rate > FailureRate(*server, now)) {
--- a/Tests/Libraries/Balancing/server_table_test.cc
+++ b/Tests/Libraries/Balancing/server_table_test.cc
@@ -345,6 +345,27 @@
   CHECK(here.table.LimitedServerCount() == 0);
 }
 
+// Guards against a dispatcher that has taken over and ends a limit, which it
+// knows only from its predecessor, with its first health check.
+TEST_CASE("A limit known from another host outlives a health check") {
+  Fixture here;
+  Fixture there;
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  for (Fixture* fixture : {&here, &there}) {
+    fixture->table.Replace({MakeServer("a")}, kStart);
+    ReportIdle(fixture->table, "a", kStart);
+  }
+  there.table.OnDirectives(key, {5.0}, ReportSource::kResponse, kStart + 100ms);
+  ReportIdle(there.table, "a", kStart + 100ms);
+  for (const ServerObservation& observation :
+       there.table.TakeUnpublishedObservations(10, kStart + 200ms))
+    here.table.Merge(observation, kStart + 200ms);
+  here.table.OnDirectives(key, {}, ReportSource::kHealthCheck, kStart + 1s);
+  CHECK(here.table.LimitedServerCount() == 1);
+  here.table.OnDirectives(key, {}, ReportSource::kHealthCheck, kStart + 3s);
+  CHECK(here.table.LimitedServerCount() == 0);
+}
+
 // Guards against requests that wait for slots which a limit leaves unused.
 TEST_CASE("Occupancy counts only the slots that a limited server can fill") {
   Fixture fixture;
