Gateway: Serve pipelined requests in parallel

Callers on the regrind sites send safe requests before the first is answered. The connection read one request after the other, so those behind waited for the one in front even where backend servers were free, and a disconnect was not noticed once further bytes had arrived.

Requests that may be retried run in parallel; responses leave in order.

--- a/Libraries/Observe/event_catalogue.cc
+++ b/Libraries/Observe/event_catalogue.cc
@@ -69,6 +69,9 @@
      "A backend server crashed while it ran the request with this "
      "`fingerprint`, or the request succeeded and `is_cleared`; `is_refused` "
      "tells whether hosts refuse it from now on."},
+    {EventId::kResponseWaitedForOrder, kInfo, "response-waited-for-order",
+     "The response to a pipelined request waited `waited_ms` for the one in "
+     "front of it; `behind` more requests follow on the connection."},
     {EventId::kServerUnusable, kWarning, "server-unusable",
      "A backend server temporarily gets no requests; `reason` states why."},
     {EventId::kServerAdded, kInfo, "server-added",
--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -38,6 +38,7 @@
   kRequestWithoutRoute = 2204,
   kCallerDisconnected = 2205,
   kRequestSuspected = 2206,
+  kResponseWaitedForOrder = 2207,
   kServerUnusable = 3000,
   kServerAdded = 3001,
   kServerRemoved = 3002,
--- a/Services/Gateway/caller_messages.h
+++ b/Services/Gateway/caller_messages.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <string>
 
 #include "Libraries/Balancing/balancing.h"
 #include "Libraries/Http/http.h"
+#include "Services/Gateway/disconnect_signal.h"
 #include "platform/platform.h"
 
 namespace dogwood {
@@ -14,9 +14,9 @@
 struct CallerRequest {
   const MessageHead& head;
   const std::string& body;
-  platform::CallerHeaders caller_headers;
+  const platform::CallerHeaders& caller_headers;
   TimePoint arrived_at;
-  boost::asio::ip::tcp::socket& socket;  // watched for a disconnect
+  DisconnectSignal& disconnect_signal;
 };
 
 // What a response tells about the run of its request.
--- a/Services/Gateway/gateway_metrics.h
+++ b/Services/Gateway/gateway_metrics.h
@@ -39,6 +39,10 @@
             registry.FindOrCreateGauge("dogwood_store_age_milliseconds")),
         live_hosts(registry.FindOrCreateGauge("dogwood_live_hosts")),
         usable_servers(registry.FindOrCreateGauge("dogwood_usable_servers")),
+        requests_pipelined(
+            registry.FindOrCreateCounter("dogwood_pipelined_requests_total")),
+        pipelining_bound_reached(registry.FindOrCreateCounter(
+            "dogwood_pipelining_bound_reached_total")),
         requests_held_back(
             registry.FindOrCreateCounter("dogwood_requests_held_back_total")),
         limited_servers(registry.FindOrCreateGauge("dogwood_limited_servers")),
@@ -47,7 +51,9 @@
         request_duration(
             registry.FindOrCreateHistogram("dogwood_request_seconds")),
         selection_wait_duration(
-            registry.FindOrCreateHistogram("dogwood_placement_wait_seconds")) {}
+            registry.FindOrCreateHistogram("dogwood_placement_wait_seconds")),
+        response_order_wait_duration(registry.FindOrCreateHistogram(
+            "dogwood_response_order_wait_seconds")) {}
 
   Counter& requests_served;
   Counter& requests_refused;
@@ -67,11 +73,15 @@
   Gauge& store_age_ms;
   Gauge& live_hosts;
   Gauge& usable_servers;
+  Counter& requests_pipelined;  // read behind another one on their connection
+  Counter& pipelining_bound_reached;
   Counter& requests_held_back;  // from servers that want none of this host
   Gauge& limited_servers;
   Gauge& refused_fingerprints;  // of requests that crash servers
   LatencyHistogram& request_duration;
   LatencyHistogram& selection_wait_duration;
+  // Of responses that were ready before those to earlier requests.
+  LatencyHistogram& response_order_wait_duration;
 };
 
 }  // namespace dogwood
--- a/Services/Gateway/poison_request_guard.cc
+++ b/Services/Gateway/poison_request_guard.cc
@@ -7,7 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "Services/Gateway/disconnect_detection.h"
+#include "Services/Gateway/disconnect_signal.h"
 #include "Services/Gateway/process_stall.h"
 
 namespace dogwood {
--- a/Services/Gateway/request_forwarder.cc
+++ b/Services/Gateway/request_forwarder.cc
@@ -6,7 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Libraries/Routing/request_fingerprint.h"
-#include "Services/Gateway/disconnect_detection.h"
+#include "Services/Gateway/disconnect_signal.h"
 #include "Services/Gateway/message_builder.h"
 #include "Services/Gateway/process_stall.h"
 
@@ -109,6 +109,15 @@
   co_return response;
 }
 
+bool RequestForwarder::is_retryable(const MessageHead& request_head) const {
+  const RouteConfiguration* route =
+      context_.route_table
+          ? context_.route_table->Match(request_head.FieldValue("host"),
+                                        request_head.target)
+          : nullptr;
+  return route != nullptr && route->retry_safety == RetrySafety::kRetryable;
+}
+
 DispatchRequest RequestForwarder::MakeDispatchRequest(
     const RequestState& state) {
   const CallerRequest& request = state.request;
@@ -176,7 +185,7 @@
         server_selector_, std::move(dispatch_request));
     const auto completed = co_await (pending_selection.AwaitDecision() ||
                                      WaitUntil(state.deadline) ||
-                                     WaitForDisconnect(request.socket));
+                                     request.disconnect_signal.Wait());
     if (completed.index() == 2)
       co_return HandleCallerDisconnect(state, "waiting");
     const auto& decision = pending_selection.decision();
@@ -262,7 +271,7 @@
       co_return attempt;
     }
   }
-  if (IsDisconnected(state.request.socket)) {
+  if (state.request.disconnect_signal.is_set()) {
     attempt.is_caller_disconnected = true;
     connection_pool_.Release(selection.server, std::move(connection),
                              started_at);
@@ -276,7 +285,7 @@
   if (state.route.retry_safety == RetrySafety::kRetryable) {
     const auto completed = co_await (
         Exchange(*connection, state, server_copy) ||
-        WaitUntil(state.deadline) || WaitForDisconnect(state.request.socket));
+        WaitUntil(state.deadline) || state.request.disconnect_signal.Wait());
     if (completed.index() == 0) result = std::get<0>(completed);
     attempt.is_caller_disconnected = completed.index() == 2;
   } else {
--- a/Services/Gateway/request_forwarder.h
+++ b/Services/Gateway/request_forwarder.h
@@ -46,6 +46,8 @@
                    PoisonRequestGuard& poison_request_guard);
 
   boost::asio::awaitable<CallerResponse> Serve(const CallerRequest& request);
+  // Whether the request matches a route whose requests may run more than once.
+  bool is_retryable(const MessageHead& request_head) const;
   void CloseExpiredConnections(TimePoint now) {
     connection_pool_.CloseExpired(now);
   }
--- a/Services/Gateway/request_forwarder_hedging.cc
+++ b/Services/Gateway/request_forwarder_hedging.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
-#include "Services/Gateway/disconnect_detection.h"
+#include "Services/Gateway/disconnect_signal.h"
 #include "Services/Gateway/request_forwarder.h"
 
 namespace dogwood {
