Soak: Let a third of the callers send requests ahead

They check that responses come in the order of the requests, and that nothing behind a response that closes the connection has run if it must not be repeated.

--- a/Tests/Soak/soak_runner.cc
+++ b/Tests/Soak/soak_runner.cc
@@ -26,6 +26,8 @@
 constexpr Duration kMaxCallerPause = std::chrono::milliseconds(60);
 constexpr std::size_t kTruncatedBytes = 3;
 constexpr int kRequestsPerConnection = 20;  // on average
+constexpr int kMaxPipelinedRequests = 6;
+constexpr int kCallersPerPipeliningCaller = 3;
 constexpr int kPathCount = 1000;
 constexpr int kMaxBodyBytes = 3000;
 constexpr double kFailingShare = 0.4;  // of a faulty server's responses
@@ -215,16 +217,7 @@
               asio::ip::make_address(gateways_[host]->address()),
               GatewayProcess::kCallerPort));
     }
-    SentRequest sent;
-    sent.id =
-        std::to_string(number) + "-" + std::to_string(++last_request_number_);
-    sent.is_retryable = RandomBelow(2) == 0;
-    sent.method = sent.is_retryable ? "GET" : "POST";
-    sent.target = (sent.is_retryable ? "/read/" : "/write/") +
-                  std::to_string(RandomBelow(kPathCount));
-    if (!sent.is_retryable)
-      sent.body.assign(static_cast<std::size_t>(RandomBelow(kMaxBodyBytes)) + 1,
-                       'b');
+    const SentRequest sent = MakeRequest(number);
     checker_.OnRequestSent(sent);
     HttpRequest request{sent.method,
                         sent.target,
@@ -246,6 +239,82 @@
   }
 }
 
+SentRequest SoakRunner::MakeRequest(int caller) {
+  SentRequest request;
+  request.id =
+      std::to_string(caller) + "-" + std::to_string(++last_request_number_);
+  request.is_retryable = RandomBelow(2) == 0;
+  request.method = request.is_retryable ? "GET" : "POST";
+  request.target = (request.is_retryable ? "/read/" : "/write/") +
+                   std::to_string(RandomBelow(kPathCount));
+  if (!request.is_retryable) {
+    request.body.assign(
+        static_cast<std::size_t>(RandomBelow(kMaxBodyBytes)) + 1, 'b');
+  }
+  return request;
+}
+
+asio::awaitable<void> SoakRunner::RunPipeliningCaller(int number) {
+  while (!is_finished_) {
+    PipeliningClient client(io_.get_executor());
+    const auto host = static_cast<std::size_t>(RandomBelow(options_.hosts));
+    bool is_open = co_await client.Connect(
+        {asio::ip::make_address(gateways_[host]->address()),
+         GatewayProcess::kCallerPort});
+    while (is_open && !is_finished_ &&
+           RandomBelow(kRequestsPerConnection) != 0) {
+      co_await Sleep(RandomDuration(kMinCallerPause, kMaxCallerPause));
+      std::vector<SentRequest> requests;
+      for (int i = RandomBelow(kMaxPipelinedRequests); i >= 0; --i)
+        requests.push_back(MakeRequest(number));
+      is_open = co_await SendPipelined(client, requests);
+    }
+    co_await Sleep(RandomDuration(kMinCallerPause, kMaxCallerPause));
+  }
+}
+
+asio::awaitable<bool> SoakRunner::SendPipelined(
+    PipeliningClient& client, const std::vector<SentRequest>& requests) {
+  constexpr Duration kResponseTimeout = std::chrono::seconds(3);
+  constexpr unsigned kNotRunStatus = 503;
+  std::string bytes;
+  for (const SentRequest& request : requests) {
+    checker_.OnRequestSent(request);
+    bytes += request.method + " " + request.target +
+             " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + request.id +
+             "\r\nX-Deadline-Ms: 3000\r\nContent-Length: " +
+             std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
+  }
+  bool is_open = co_await client.Send(std::move(bytes));
+  bool is_closed_in_order = false;
+  for (const SentRequest& request : requests) {
+    std::optional<PipeliningClient::Response> response;
+    if (is_open) response = co_await client.Read(kResponseTimeout);
+    is_open = response.has_value();
+    if (!response) {
+      // A caller sends what follows a response that closes the connection
+      // again, so it must not have run if it must not be repeated.
+      checker_.OnResponse(
+          request.id,
+          is_closed_in_order && !request.is_retryable ? kNotRunStatus : 0,
+          false);
+      continue;
+    }
+    if (response->request_id != request.id) {
+      checker_.OnViolation(Invariant::kMatchingResponse,
+                           "response to " + response->request_id +
+                               " in the place of " + request.id);
+    }
+    checker_.OnResponse(request.id, response->status,
+                        response->body == ResponseBody(request.id));
+    if (response->closes_connection) {
+      is_open = false;
+      is_closed_in_order = true;
+    }
+  }
+  co_return is_open;
+}
+
 asio::awaitable<void> SoakRunner::ProbeConfigurationVersion(int number) {
   GatewayProcess& gateway = *gateways_[static_cast<std::size_t>(number)];
   while (!is_finished_) {
@@ -384,8 +453,11 @@
 
 asio::awaitable<void> SoakRunner::RunPhases() {
   co_await Sleep(kStartUpTime);
-  for (int i = 0; i < options_.callers; ++i)
-    asio::co_spawn(io_, RunCaller(i), asio::detached);
+  for (int i = 0; i < options_.callers; ++i) {
+    const bool is_pipelining = i % kCallersPerPipeliningCaller == 0;
+    asio::co_spawn(io_, is_pipelining ? RunPipeliningCaller(i) : RunCaller(i),
+                   asio::detached);
+  }
   for (int i = 0; i < options_.hosts; ++i)
     asio::co_spawn(io_, ProbeConfigurationVersion(i), asio::detached);
   co_await RunFaultPhase();
--- a/Tests/Soak/soak_runner.h
+++ b/Tests/Soak/soak_runner.h
@@ -11,6 +11,7 @@
 #include "Tests/Soak/fault_proxy.h"
 #include "Tests/Soak/gateway_process.h"
 #include "Tests/Soak/invariant_checker.h"
+#include "Tests/Soak/pipelining_client.h"
 #include "Tests/StandIns/fake_store_server.h"
 #include "Tests/StandIns/scripted_backend_server.h"
 
@@ -75,6 +76,14 @@
   boost::asio::awaitable<void> InjectFault(FaultKind kind, Duration duration);
   boost::asio::awaitable<void> RunRecoveryPhase();
   boost::asio::awaitable<void> RunCaller(int number);
+  // A caller that sends several requests before it reads the first response.
+  boost::asio::awaitable<void> RunPipeliningCaller(int number);
+  // Sends the requests on the connection and checks that their responses come
+  // in order. Returns whether the connection is still open.
+  boost::asio::awaitable<bool> SendPipelined(
+      PipeliningClient& client, const std::vector<SentRequest>& requests);
+  // A request of the caller with a new id.
+  SentRequest MakeRequest(int caller);
   boost::asio::awaitable<void> ProbeConfigurationVersion(int host);
   boost::asio::awaitable<void> RestartStoppedGateways();
   ScriptedResponse RespondTo(int server, const ReceivedRequest& request);
