Gateway: Answer requests that have just been accepted in a planned stop

Report of other operators: requests that had just been accepted were cut off in a planned stop under load. It can happen here: when the host stops accepting, the connections in the accept queue were reset; one that had just been accepted was dropped; and an idle connection was closed, or the process ended, although the bytes of a request were waiting in the socket. Now the queue is accepted first, a connection with unread bytes is busy, and the process ends when none is. These requests get a true refusal.

--- a/Services/Gateway/caller_connection.cc
+++ b/Services/Gateway/caller_connection.cc
@@ -60,8 +60,15 @@
   }
 }
 
+bool CallerConnection::is_busy() const {
+  if (!exchanges_.empty()) return true;
+  if (is_finished_) return false;
+  boost::system::error_code ignored;
+  return !is_idle_ || !input_.empty() || socket_.available(ignored) > 0;
+}
+
 void CallerConnection::CloseIfIdle() {
-  if (is_idle_ && exchanges_.empty() && input_.empty()) Close();
+  if (!is_busy()) Close();
 }
 
 asio::awaitable<boost::system::error_code> CallerConnection::Fill() {
--- a/Services/Gateway/caller_connection.h
+++ b/Services/Gateway/caller_connection.h
@@ -65,7 +65,9 @@
 
   // Closes the connection when its current read or write has timed out.
   void CloseIfTimedOut(TimePoint now);
-  // Closes the connection when no request is being read or served.
+  // Whether a request has arrived, in part or completely, and has no response.
+  bool is_busy() const;
+  // Closes the connection unless it is busy.
   void CloseIfIdle();
 
   // ByteSource interface of BodyReader.
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -158,8 +158,8 @@
 asio::awaitable<void> Gateway::AcceptConnections() {
   for (;;) {
     auto [error, socket] = co_await acceptor_.async_accept(kUseAwaitableTuple);
-    if (error == asio::error::operation_aborted || !acceptor_.is_open())
-      co_return;
+    // A connection may have been accepted just before the acceptor was closed.
+    if (error && !acceptor_.is_open()) co_return;
     if (error) {
       // Most likely out of file descriptors; open connections release some.
       asio::steady_timer pause(io_context_, kAcceptRetryDelay);
@@ -168,9 +168,34 @@
     }
     asio::co_spawn(io_context_, ServeConnection(std::move(socket)),
                    asio::detached);
+    if (!acceptor_.is_open()) co_return;
   }
 }
 
+bool Gateway::CloseIdleCallerConnections() {
+  bool is_any_busy = false;
+  for (CallerConnection* connection : caller_connections_) {
+    connection->CloseIfIdle();
+    is_any_busy = is_any_busy || connection->is_busy();
+  }
+  return is_any_busy;
+}
+
+void Gateway::StopAccepting() {
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  // Closing the acceptor resets the connections that wait.
+  while (!error) {
+    tcp::socket socket(io_context_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      asio::co_spawn(io_context_, ServeConnection(std::move(socket)),
+                     asio::detached);
+    }
+  }
+  acceptor_.close(error);
+}
+
 asio::awaitable<void> Gateway::ServeConnection(tcp::socket socket) {
   CallerConnection connection(context_, request_forwarder_,
                               caller_connection_totals_, std::move(socket));
@@ -223,16 +248,14 @@
   for (TimePoint now = stop_requested_at; now < forced_stop_at;
        now = MonotonicNow()) {
     if (!has_closed_idle && now - stop_requested_at >= kCloseIdleAfterStop) {
-      for (CallerConnection* connection : caller_connections_)
-        connection->CloseIfIdle();
+      CloseIdleCallerConnections();
       has_closed_idle = true;
     }
-    if (now - stop_requested_at >= kAcceptPeriodAfterStop) {
-      boost::system::error_code ignored;
-      acceptor_.close(ignored);
-      for (CallerConnection* connection : caller_connections_)
-        connection->CloseIfIdle();
-      if (caller_connection_totals_.requests == 0) break;
+    if (now >= context_.shutdown->accept_until) {
+      // Requests on the last connections are read until the next round.
+      const bool has_stopped_accepting = !acceptor_.is_open();
+      if (!has_stopped_accepting) StopAccepting();
+      if (has_stopped_accepting && !CloseIdleCallerConnections()) break;
     }
     timer.expires_after(kShutdownPollInterval);
     co_await timer.async_wait(kUseAwaitableTuple);
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -46,6 +46,10 @@
 
  private:
   boost::asio::awaitable<void> AcceptConnections();
+  // Returns whether any caller connection is busy.
+  bool CloseIdleCallerConnections();
+  // Accepts the connections that wait and closes the acceptor.
+  void StopAccepting();
   boost::asio::awaitable<void> ServeConnection(
       boost::asio::ip::tcp::socket socket);
   boost::asio::awaitable<void> RunSweep();
--- a/Tests/Services/Gateway/gateway_fixture.h
+++ b/Tests/Services/Gateway/gateway_fixture.h
@@ -140,6 +140,9 @@
     return text + "\r\n" + body;
   }
 
+  // Sets the grace period of hosts that start later.
+  void set_grace(const std::string& grace) { grace_ = grace; }
+
   void RunFor(Duration duration) { io_.run_for(duration); }
 
   boost::asio::io_context& io() { return io_; }
@@ -213,7 +216,7 @@
          << "\n  ready_addr: " << address << ":" << kReadinessPort
          << "\nport_range: [7003, 7004]\nbounds:\n"
          << "  budget_ratio: 0.2\n  budget_extra: 100\n  probes_per_s: 60\n"
-         << "  grace: 1500ms\nplatform:\n  address: 127.0.0.1:"
+         << "  grace: " << grace_ << "\nplatform:\n  address: 127.0.0.1:"
          << store_.endpoint().port() << "\n";
     // The port of a seed is ignored; hosts use their configured peer port.
     if (!seed_address.empty())
@@ -224,6 +227,7 @@
   boost::asio::io_context io_;
   FakeStoreServer store_;
   std::string routes_;
+  std::string grace_ = "1500ms";
   std::vector<std::unique_ptr<ScriptedBackendServer>> backends_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::string address_;
--- a/Tests/Services/Gateway/shutdown_test.cc
+++ b/Tests/Services/Gateway/shutdown_test.cc
@@ -1,4 +1,6 @@
 // Tests which requests a host takes during a planned stop.
+#include <thread>
+
 #include "Services/Gateway/shutdown_schedule.h"
 #include "Tests/Services/Gateway/gateway_fixture.h"
 
@@ -43,6 +45,39 @@
   CHECK(backend.received_requests().empty());
 }
 
+// Guards against connections that are reset because they still wait to be
+// accepted when the host stops accepting.
+TEST_CASE("Connections that wait to be accepted get a refusal") {
+  GatewayFixture fixture;
+  fixture.AddBackend("i-1", [](const ReceivedRequest& request) {
+    return ScriptedResponse{
+        ScriptedBackendServer::OkResponse(request, "answered")};
+  });
+  fixture.set_grace("6s");
+  fixture.StartAndWaitUntilReady();
+  ::raise(SIGTERM);
+  fixture.RunFor(Gateway::kAcceptPeriodAfterStop - 100ms);
+  std::vector<boost::asio::ip::tcp::socket> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back(fixture.io());
+    callers.back().connect(fixture.caller_endpoint());
+    boost::asio::write(callers.back(),
+                       boost::asio::buffer(GatewayFixture::FormatRequest(
+                           "POST", "/write/", "id-" + std::to_string(i), "b")));
+  }
+  // The host gets no processor time until after it has to stop accepting.
+  std::this_thread::sleep_for(200ms);
+  fixture.RunFor(200ms);
+  for (auto& caller : callers) {
+    std::array<char, 1024> buffer{};
+    boost::system::error_code error;
+    caller.non_blocking(true);
+    const auto count = caller.read_some(boost::asio::buffer(buffer), error);
+    CHECK(std::string_view(buffer.data(), count)
+              .starts_with("HTTP/1.1 503 Service Unavailable\r\n"));
+  }
+}
+
 // Guards against a second signal that ends the grace period early.
 TEST_CASE("A second signal does not cut off running requests") {
   GatewayFixture fixture;
