--- a/Tests/Services/Gateway/server_directives_test.cc
+++ b/Tests/Services/Gateway/server_directives_test.cc
@@ -30,6 +30,8 @@
   fixture.StartSecondHost();
   for (int i = 0; i < 400 && !fixture.is_ready(); ++i) fixture.RunFor(10ms);
   REQUIRE(fixture.is_ready());
+  // Until then the second host uses no limited server.
+  fixture.RunFor(PeerTable::kConvergenceTime);
   std::vector<std::string> responses(80);
   for (std::size_t i = 0; i < responses.size(); ++i) {
     fixture.StartRequest(
