--- a/Tests/Libraries/Balancing/server_table_test.cc
+++ b/Tests/Libraries/Balancing/server_table_test.cc
@@ -324,24 +324,31 @@
   CHECK(fixture.table.LimitedServerCount() == 0);
 }
 
-// Guards against dispatchers of other zones that do not know a limit, and
-// against older observations that end it.
-TEST_CASE("A limit is merged from other hosts unless it is older") {
-  Fixture here;
+// Lets another host report the limit of the server "a" to `here` at 200 ms.
+ServerObservation MergeLimitOfOtherHost(Fixture& here) {
   Fixture there;
-  const ServerKey key = ServerKeyOf(ServerId("a"));
   for (Fixture* fixture : {&here, &there}) {
     fixture->table.Replace({MakeServer("a")}, kStart);
     ReportIdle(fixture->table, "a", kStart);
   }
-  there.table.OnDirectives(key, {5.0}, ReportSource::kResponse, kStart + 100ms);
+  there.table.OnDirectives(ServerKeyOf(ServerId("a")), {5.0},
+                           ReportSource::kResponse, kStart + 100ms);
   ReportIdle(there.table, "a", kStart + 100ms);
   const auto news = there.table.TakeUnpublishedObservations(10, kStart + 200ms);
   REQUIRE(news.size() == 1);
   here.table.Merge(news[0], kStart + 200ms);
+  return news[0];
+}
+
+// Guards against dispatchers of other zones that do not know a limit, and
+// against older observations that end it.
+TEST_CASE("A limit is merged from other hosts unless it is older") {
+  Fixture here;
+  const ServerKey key = ServerKeyOf(ServerId("a"));
+  const ServerObservation news = MergeLimitOfOtherHost(here);
   CHECK(here.table.LimitedServerCount() == 1);
   here.table.OnDirectives(key, {}, ReportSource::kResponse, kStart + 300ms);
-  here.table.Merge(news[0], kStart + 300ms);
+  here.table.Merge(news, kStart + 300ms);
   CHECK(here.table.LimitedServerCount() == 0);
 }
 
@@ -377,17 +384,8 @@
 // knows only from its predecessor, with its first health check.
 TEST_CASE("A limit known from another host outlives a health check") {
   Fixture here;
-  Fixture there;
   const ServerKey key = ServerKeyOf(ServerId("a"));
-  for (Fixture* fixture : {&here, &there}) {
-    fixture->table.Replace({MakeServer("a")}, kStart);
-    ReportIdle(fixture->table, "a", kStart);
-  }
-  there.table.OnDirectives(key, {5.0}, ReportSource::kResponse, kStart + 100ms);
-  ReportIdle(there.table, "a", kStart + 100ms);
-  for (const ServerObservation& observation :
-       there.table.TakeUnpublishedObservations(10, kStart + 200ms))
-    here.table.Merge(observation, kStart + 200ms);
+  MergeLimitOfOtherHost(here);
   here.table.OnDirectives(key, {}, ReportSource::kHealthCheck, kStart + 1s);
   CHECK(here.table.LimitedServerCount() == 1);
   here.table.OnDirectives(key, {}, ReportSource::kHealthCheck, kStart + 3s);
--- a/Tests/Services/Gateway/pipelining_test.cc
+++ b/Tests/Services/Gateway/pipelining_test.cc
@@ -62,6 +62,12 @@
   return targets;
 }
 
+ScriptedBackendServer& AddSlowBackend(GatewayFixture& fixture, Duration delay) {
+  return fixture.AddBackend("i-1", [delay](const ReceivedRequest& request) {
+    return RespondWithTarget(request, delay);
+  });
+}
+
 // Guards against requests that wait for the one in front although a backend
 // server is free.
 TEST_CASE("Pipelined requests run in parallel and are answered in order") {
@@ -108,10 +114,7 @@
 // response that closes the connection again.
 TEST_CASE("A request that must not be retried waits for those before it") {
   GatewayFixture fixture;
-  ScriptedBackendServer& backend =
-      fixture.AddBackend("i-1", [](const ReceivedRequest& request) {
-        return RespondWithTarget(request, 150ms);
-      });
+  ScriptedBackendServer& backend = AddSlowBackend(fixture, 150ms);
   fixture.StartAndWaitUntilReady();
   std::string received;
   fixture.StartRequest(Get(0) + Post(1) + Get(2, "close"), received);
@@ -130,10 +133,7 @@
 // connection: the caller sends them again.
 TEST_CASE("Requests behind one that closes the connection do not run") {
   GatewayFixture fixture;
-  ScriptedBackendServer& backend =
-      fixture.AddBackend("i-1", [](const ReceivedRequest& request) {
-        return RespondWithTarget(request, 50ms);
-      });
+  ScriptedBackendServer& backend = AddSlowBackend(fixture, 50ms);
   fixture.StartAndWaitUntilReady();
   SUBCASE("as its caller asked") {
     const std::string received = fixture.SendRaw(
@@ -155,10 +155,7 @@
 // planned stop, and against others that are started during it.
 TEST_CASE("A planned stop answers the pipelined requests that are running") {
   GatewayFixture fixture;
-  ScriptedBackendServer& backend =
-      fixture.AddBackend("i-1", [](const ReceivedRequest& request) {
-        return RespondWithTarget(request, 150ms);
-      });
+  ScriptedBackendServer& backend = AddSlowBackend(fixture, 150ms);
   fixture.StartAndWaitUntilReady();
   std::string received;
   fixture.StartRequest(Get(0) + Get(1) + Post(2) + Get(3), received);
