--- a/Libraries/Balancing/peer_table.cc
+++ b/Libraries/Balancing/peer_table.cc
@@ -240,7 +240,9 @@
   const std::uint64_t own = CombineHashes(own_hash_, task);
   for (const auto& [ip, peer] : peers_) {
     if (!is_live(peer, now)) continue;
-    if (is_draining_ || peer.zone == zone || CombineHashes(peer.hash, task) > own) return false;
+    if (is_draining_ || peer.zone == zone ||
+        CombineHashes(peer.hash, task) > own)
+      return false;
   }
   return true;
 }
