--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -40,7 +40,7 @@
 class StaleDecisionCase {
  public:
   StaleDecisionCase(asio::io_context& io, const std::string& record_path)
-      : io_(io), record_(record_path), store_(io), address_lock_(io) {}
+      : io_(io), record_(record_path), fleet_(io) {}
 
   asio::awaitable<int> Run();
   Record& record() { return record_; }
@@ -55,10 +55,7 @@
 
   asio::io_context& io_;
   Record record_;
-  FakeStoreServer store_;
-  asio::ip::tcp::acceptor address_lock_;
-  TemporaryFolder folder_;
-  std::vector<std::unique_ptr<GatewayHost>> hosts_;
+  Fleet fleet_;
   std::vector<std::unique_ptr<Backend>> servers_;
   std::map<std::string, Sent> sent_;  // by request ID
   std::map<std::string, int> runs_;
@@ -75,10 +72,10 @@
     std::string name = prefix + std::to_string(i);
     const std::uint64_t task = HashName(name);
     bool is_top = true;
-    for (const auto& host : hosts_) {
-      is_top = is_top &&
-               (host->ip() == ip || CombineHashes(HashName(host->ip()), task) <
-                                        CombineHashes(HashName(ip), task));
+    for (std::size_t host = 0; host < fleet_.size(); ++host) {
+      const std::string& other = fleet_.host(host).ip();
+      is_top = is_top && (other == ip || CombineHashes(HashName(other), task) <
+                                             CombineHashes(HashName(ip), task));
     }
     if (is_top) return name;
   }
@@ -105,10 +102,11 @@
   const std::string id = "r" + std::to_string(sent_.size());
   const std::string target = "/" + service + "/" + id;
   sent_[id] = {service, target};
-  record_.Add("send " + id + " POST " + target + " to " + hosts_[host]->ip());
+  record_.Add("send " + id + " POST " + target + " to " +
+              fleet_.host(host).ip());
   const CallerRequest request{id, "POST", target, "once", kRequestDeadline};
-  const CallerAnswer answer =
-      co_await Call(hosts_[host]->endpoint(GatewayHost::kCallerPort), request);
+  const CallerAnswer answer = co_await Call(
+      fleet_.host(host).endpoint(GatewayHost::kCallerPort), request);
   const bool is_success = answer.is_complete && answer.status == 200;
   if (is_success) ++answered_;
   record_.Add("answer " + id + " " +
@@ -131,28 +129,23 @@
 }
 
 asio::awaitable<int> StaleDecisionCase::Run() {
-  const std::string prefix = ReserveAddresses(address_lock_);
-  if (prefix.empty() || folder_.path().empty()) co_return kCouldNotRun;
-  const std::string store =
-      "127.0.0.1:" + std::to_string(store_.endpoint().port());
-  std::vector<std::string> ips;
-  for (int i = 1; i <= kHostCount; ++i)
-    ips.push_back(prefix + std::to_string(i));
-  for (const std::string& ip : ips) {
-    hosts_.push_back(std::make_unique<GatewayHost>(
-        GatewayHost::Options{ip, "z0", folder_.path(), store, ips, {"z0"}}));
-  }
+  const bool has_hosts =
+      fleet_.AddHosts(std::vector<std::string>(kHostCount, "z0"));
+  if (!has_hosts) co_return kCouldNotRun;
+  GatewayHost& killed_host = fleet_.host(0);
+  const std::string& dispatcher_ip = fleet_.host(1).ip();
   // The dispatcher of both services is the second host, the one that is killed
   // the first.
-  const std::vector<std::string> services = {NameOfServiceAt(ips[1], "ledger"),
-                                             NameOfServiceAt(ips[1], "proofs")};
+  const std::vector<std::string> services = {
+      NameOfServiceAt(dispatcher_ip, "ledger"),
+      NameOfServiceAt(dispatcher_ip, "proofs")};
   std::vector<RouteSpec> routes;
   for (const std::string& service : services) {
     routes.push_back(
         {"to-" + service, "/" + service + "/", "unsafe", service, "4s", "", 2});
     for (int i = 0; i < kServersPerService; ++i) {
       servers_.push_back(std::make_unique<Backend>(
-          io_, store_, record_,
+          io_, fleet_.store(), record_,
           Backend::Options{"i-" + service + std::to_string(i), service, "z0"},
           [](const BackendRequest&) { return kWork; },
           [this](const Backend& server, const BackendRequest& request) {
@@ -160,15 +153,9 @@
           }));
     }
   }
-  PublishConfiguration(store_, routes, {{services[0]}, {services[1]}});
-  for (const auto& host : hosts_) {
-    if (!host->Start(true)) co_return kCouldNotRun;
-  }
-  for (const auto& host : hosts_) {
-    const bool is_ready = co_await AwaitReady(*host, kStartTimeout);
-    if (!is_ready) co_return kCouldNotRun;
-  }
-  co_await Sleep(std::chrono::seconds(3));
+  PublishConfiguration(fleet_.store(), routes, {{services[0]}, {services[1]}});
+  const bool is_started = co_await fleet_.Start();
+  if (!is_started) co_return kCouldNotRun;
   // All slots are in use, so what comes next waits at the dispatcher.
   for (int i = 0; i < kSlotsPerService; ++i) {
     for (const std::string& service : services) {
@@ -181,15 +168,15 @@
   co_await SendMixed(services);
   co_await Sleep(kKillDelay);
   if (has_trouble()) {
-    record_.Add("SIGKILL to " + hosts_[0]->ip());
-    hosts_[0]->Kill();
+    record_.Add("SIGKILL to " + killed_host.ip());
+    killed_host.Kill();
   }
   co_await Sleep(kRestartDelay);
   if (has_trouble()) {
-    record_.Add("start " + hosts_[0]->ip());
-    if (!hosts_[0]->Start(false)) co_return kCouldNotRun;
+    record_.Add("start " + killed_host.ip());
+    if (!killed_host.Start(false)) co_return kCouldNotRun;
   }
-  const bool is_back = co_await AwaitReady(*hosts_[0], kStartTimeout);
+  const bool is_back = co_await AwaitReady(killed_host, kStartTimeout);
   if (!is_back) co_return kCouldNotRun;
   co_await SendMixed(services);
   while (open_calls_ > 0) co_await Sleep(std::chrono::milliseconds(50));
--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -226,11 +226,12 @@
   running_ = 0;
 }
 
-void Backend::Restart() {
+void Backend::Restart(Duration cold_time) {
   record_.Add(options_.id + " is back");
   is_crashed_ = false;
   born_ms_ = UnixMilliseconds();
   sequence_ = 0;
+  cold_until_ = MonotonicNow() + cold_time;
   acceptor_ = tcp::acceptor(io_, endpoint_);
   Register();
   asio::co_spawn(io_, Accept(epoch_), asio::detached);
@@ -387,6 +388,8 @@
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
+    // The process must not hold the sockets of the stand-ins.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     std::array<char*, 2> environment = {const_cast<char*>(variable.c_str()),
                                         nullptr};
     // The command of deploy/system.toml.
@@ -514,6 +517,41 @@
   std::filesystem::remove_all(path_, ignored);
 }
 
+bool Fleet::AddHosts(const std::vector<std::string>& zones) {
+  const std::string prefix = ReserveAddresses(lock_);
+  if (prefix.empty() || folder_.path().empty()) return false;
+  std::vector<std::string> ips;
+  for (std::size_t i = 1; i <= zones.size(); ++i)
+    ips.push_back(prefix + std::to_string(i));
+  std::vector<std::string> seeds = ips;
+  constexpr std::size_t kMaxSeeds = 3;
+  if (seeds.size() > kMaxSeeds) seeds.resize(kMaxSeeds);
+  std::vector<std::string> names = zones;
+  std::sort(names.begin(), names.end());
+  names.erase(std::unique(names.begin(), names.end()), names.end());
+  for (std::size_t i = 0; i < zones.size(); ++i) {
+    hosts_.push_back(std::make_unique<GatewayHost>(GatewayHost::Options{
+        ips[i], zones[i], folder_.path(),
+        "127.0.0.1:" + std::to_string(store_.endpoint().port()), seeds,
+        names}));
+  }
+  return true;
+}
+
+asio::awaitable<bool> Fleet::Start() {
+  constexpr Duration kStartTimeout = std::chrono::seconds(15);
+  constexpr Duration kConvergenceTime = std::chrono::seconds(3);
+  for (const auto& host : hosts_) {
+    if (!host->Start(true)) co_return false;
+  }
+  for (const auto& host : hosts_) {
+    const bool is_ready = co_await AwaitReady(*host, kStartTimeout);
+    if (!is_ready) co_return false;
+  }
+  co_await Sleep(kConvergenceTime);
+  co_return true;
+}
+
 int RunCase(asio::io_context& io, Duration limit, asio::awaitable<int> body) {
   int result = kCouldNotRun;
   asio::co_spawn(io, std::move(body),
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -112,8 +112,9 @@
   void BecomeCold(Duration duration);
   // Ends like a killed process: resets its connections and refuses new ones.
   void Crash();
-  // Starts again after a crash, under the same address and id.
-  void Restart();
+  // Starts again after a crash, under the same address and id, and is cold for
+  // a time.
+  void Restart(Duration cold_time);
   bool is_crashed() const { return is_crashed_; }
   bool is_cold() const { return MonotonicNow() < cold_until_; }
   unsigned running() const { return running_; }
@@ -233,6 +234,27 @@
   std::string path_;
 };
 
+// A store and gateways on addresses of their own.
+class Fleet {
+ public:
+  explicit Fleet(boost::asio::io_context& io) : store_(io), lock_(io) {}
+
+  FakeStoreServer& store() { return store_; }
+  GatewayHost& host(std::size_t index) { return *hosts_[index]; }
+  std::size_t size() const { return hosts_.size(); }
+  // Adds a gateway for each element of `zones`. Returns false if there are no
+  // free addresses.
+  bool AddHosts(const std::vector<std::string>& zones);
+  // Starts all gateways and waits until they are ready and know each other.
+  boost::asio::awaitable<bool> Start();
+
+ private:
+  FakeStoreServer store_;
+  boost::asio::ip::tcp::acceptor lock_;
+  TemporaryFolder folder_;
+  std::vector<std::unique_ptr<GatewayHost>> hosts_;
+};
+
 // Runs `body`, stops when it returns and gives its result. Ends the case with
 // kCouldNotRun after `limit`.
 int RunCase(boost::asio::io_context& io, Duration limit,
