Review: a request that crashes servers amid their answer is not refused

Rule BUDGET: a request that crashes the backends that run it reaches backends in more than three retries later than stable_window after it has crashed the third.

--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -237,6 +237,12 @@
   asio::co_spawn(io_, Accept(epoch_), asio::detached);
 }
 
+asio::awaitable<void> Backend::CrashFor(Duration duration, Duration cold_time) {
+  Crash();
+  co_await Sleep(duration);
+  Restart(cold_time);
+}
+
 asio::awaitable<void> Backend::Accept(std::uint64_t epoch) {
   while (epoch == epoch_) {
     auto [error, socket] = co_await acceptor_.async_accept(kUseAwaitableTuple);
@@ -345,6 +351,20 @@
       response = co_await Respond(request, epoch);
     }
     if (epoch != epoch_) break;
+    const auto last_words =
+        partial_answer_ ? partial_answer_(request) : std::nullopt;
+    if (last_words) {
+      co_await asio::async_write(source.socket, asio::buffer(*last_words),
+                                 kUseAwaitableTuple);
+      // The bytes arrive before the reset.
+      constexpr Duration kCrashDelay = std::chrono::milliseconds(20);
+      co_await Sleep(kCrashDelay);
+      if (epoch != epoch_) break;
+      constexpr Duration kDownTime = std::chrono::seconds(3);
+      constexpr Duration kColdTime = std::chrono::seconds(3);
+      asio::co_spawn(io_, CrashFor(kDownTime, kColdTime), asio::detached);
+      break;
+    }
     const auto [error, written] = co_await asio::async_write(
         source.socket, asio::buffer(response), kUseAwaitableTuple);
     if (error) break;
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -108,10 +109,19 @@
   Backend& operator=(const Backend&) = delete;
 
   const Options& options() const { return options_; }
+  // Requests that crash the server: `partial_answer` gives the bytes that it
+  // sends after their work, before it crashes, and nothing for all others.
+  using PartialAnswer =
+      std::function<std::optional<std::string>(const BackendRequest& request)>;
+  void set_partial_answer(PartialAnswer partial_answer) {
+    partial_answer_ = std::move(partial_answer);
+  }
   // Becomes cold for a time. The next heartbeat tells it.
   void BecomeCold(Duration duration);
   // Ends like a killed process: resets its connections and refuses new ones.
   void Crash();
+  // Crashes now and starts again after a time.
+  boost::asio::awaitable<void> CrashFor(Duration duration, Duration cold_time);
   // Starts again after a crash, under the same address and id, and is cold for
   // a time.
   void Restart(Duration cold_time);
@@ -137,6 +147,7 @@
   Options options_;
   WorkTime work_time_;
   OnRun on_run_;
+  PartialAnswer partial_answer_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::ip::tcp::endpoint endpoint_;
   std::set<boost::asio::ip::tcp::socket*> sockets_;
