--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -233,6 +233,7 @@
   sequence_ = 0;
   cold_until_ = MonotonicNow() + cold_time;
   acceptor_ = tcp::acceptor(io_, endpoint_);
+  endpoint_ = acceptor_.local_endpoint();
   Register();
   asio::co_spawn(io_, Accept(epoch_), asio::detached);
 }
