--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -1,6 +1,7 @@
 #include "review/harness/harness.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -406,6 +407,8 @@
   const pid_t process = ::fork();
   if (process < 0) return false;
   if (process == 0) {
+    // The process ends with the case, also if that is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
@@ -454,14 +457,21 @@
 
 std::string ReserveAddresses(tcp::acceptor& lock) {
   constexpr int kBlockCount = 250;
+  constexpr std::uint16_t kMetricsPort = 9090;
   for (int i = 0; i < kBlockCount; ++i) {
     std::string prefix =
         "127.252." + std::to_string((::getpid() + i) % kBlockCount) + ".";
-    const tcp::endpoint endpoint(asio::ip::make_address(prefix + "254"),
-                                 GatewayHost::kCallerPort);
+    const auto address = asio::ip::make_address(prefix + "254");
     boost::system::error_code error;
-    lock.open(endpoint.protocol(), error);
-    if (!error) lock.bind(endpoint, error);
+    // A process that listens on all addresses takes a port of each block.
+    for (const std::uint16_t port : {kMetricsPort, GatewayHost::kReadinessPort,
+                                     GatewayHost::kFirstPeerPort}) {
+      tcp::acceptor trial(lock.get_executor());
+      if (!error) trial.open(tcp::v4(), error);
+      if (!error) trial.bind({address, port}, error);
+    }
+    if (!error) lock.open(tcp::v4(), error);
+    if (!error) lock.bind({address, GatewayHost::kCallerPort}, error);
     if (!error) lock.listen(1, error);
     if (!error) return prefix;
     lock.close(error);
