Review: keep the case of equal hashes inside the share of added servers

Disruption: backends are added. The claim quoted a share of 0.3, but the case added three servers to a service of one; now three join ten.

--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -22,6 +22,9 @@
 constexpr Duration kTimeBetweenJoins = std::chrono::seconds(4);
 constexpr Duration kTimeAfterJoin = std::chrono::seconds(14);
 constexpr Duration kCaseLimit = std::chrono::seconds(100);
+// Three servers join the ten of a service: a share of 0.3.
+constexpr std::uint32_t kServersPerService = 10;
+constexpr std::uint32_t kFirstOtherId = 0x7f3a91c2;
 constexpr std::array<const char*, 2> kServices = {"ledger", "proofs"};
 
 std::string ServerIdOf(std::uint32_t number) {
@@ -122,8 +125,11 @@
       fleet_.AddHosts(std::vector<std::string>(kHostCount, "z0"));
   if (!has_hosts) co_return kCouldNotRun;
   AddServer(ids.first, "ledger");
-  AddServer("i-7f3a91c2", "ledger");
-  AddServer("i-236a4d82", "proofs");
+  AddServer(ServerIdOf(kFirstOtherId), "proofs");
+  for (std::uint32_t i = 1; i < kServersPerService; ++i) {
+    AddServer(ServerIdOf(kFirstOtherId + 2 * i), "ledger");
+    AddServer(ServerIdOf(kFirstOtherId + 2 * i + 1), "proofs");
+  }
   PublishConfiguration(
       fleet_.store(),
       {{"ledger", "/ledger/", "unsafe", "ledger", "300ms", "", 2},
