Gateway: Log grants of a server of another service

Event 3009 names the request, its number, the dispatcher, the server and its service; dogwood_selections_of_other_services_ total counts them. Nothing else changes.

--- a/Libraries/Observe/event_catalogue.cc
+++ b/Libraries/Observe/event_catalogue.cc
@@ -92,6 +92,9 @@
      "host that received it."},
     {EventId::kServerPaused, kInfo, "server-paused",
      "A backend server wants nothing from this host for `pause_ms`."},
+    {EventId::kServerOfOtherService, kError, "server-of-other-service",
+     "The `dispatcher` granted a request of one service a backend server of "
+     "another (`server_service`)."},
     {EventId::kPeerFound, kInfo, "peer-found",
      "Another entry host was discovered for the first time or again."},
     {EventId::kPeerResponseMalformed, kWarning, "peer-unreadable",
--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -48,6 +48,7 @@
   kServerUnlimited = 3006,
   kServerLeaving = 3007,
   kServerPaused = 3008,
+  kServerOfOtherService = 3009,
   kPeerFound = 4000,
   kPeerResponseMalformed = 4001,
   kSettingsAccepted = 5000,
--- a/Services/Gateway/gateway_metrics.h
+++ b/Services/Gateway/gateway_metrics.h
@@ -45,6 +45,8 @@
             "dogwood_pipelining_bound_reached_total")),
         requests_held_back(
             registry.FindOrCreateCounter("dogwood_requests_held_back_total")),
+        selections_of_other_services(registry.FindOrCreateCounter(
+            "dogwood_selections_of_other_services_total")),
         limited_servers(registry.FindOrCreateGauge("dogwood_limited_servers")),
         refused_fingerprints(
             registry.FindOrCreateGauge("dogwood_refused_fingerprints")),
@@ -76,6 +78,7 @@
   Counter& requests_pipelined;  // read behind another one on their connection
   Counter& pipelining_bound_reached;
   Counter& requests_held_back;  // from servers that want none of this host
+  Counter& selections_of_other_services;  // grants of a wrong server
   Gauge& limited_servers;
   Gauge& refused_fingerprints;  // of requests that crash servers
   LatencyHistogram& request_duration;
--- a/Services/Gateway/request_forwarder.cc
+++ b/Services/Gateway/request_forwarder.cc
@@ -235,6 +235,7 @@
   ServerAttempt server_attempt;
   server_attempt.selection = *pending_selection.decision()->selection;
   const Duration service_time = TypicalServiceTime(state.route);
+  LogServerOfOtherService(state, pending_selection, request_number);
   state.tried_servers.push_back(server_attempt.selection.server);
   server_attempt.attempt =
       co_await SendToServer(state, server_attempt.selection);
@@ -244,6 +245,25 @@
   co_return server_attempt;
 }
 
+void RequestForwarder::LogServerOfOtherService(
+    const RequestState& state,
+    const ServerSelector::PendingSelection& pending_selection,
+    std::uint64_t request_number) {
+  const BackendServerState* server = context_.server_table.Find(
+      pending_selection.decision()->selection->server);
+  if (server == nullptr || server->registration.service == state.service)
+    return;
+  context_.metrics.selections_of_other_services.Add();
+  context_.log->Record(
+      EventId::kServerOfOtherService,
+      {{"request", state.request.caller_headers.id.value()},
+       {"number", static_cast<std::int64_t>(request_number)},
+       {"service", state.service.value()},
+       {"server", server->registration.id.value()},
+       {"server_service", server->registration.service.value()},
+       {"dispatcher", pending_selection.dispatcher_ip()}});
+}
+
 asio::awaitable<RequestForwarder::Attempt> RequestForwarder::SendToServer(
     RequestState& state, const ServerSelection& selection) {
   Attempt attempt;
--- a/Services/Gateway/request_forwarder.h
+++ b/Services/Gateway/request_forwarder.h
@@ -134,6 +134,11 @@
   static SelectionCompletion MakeSelectionCompletion(
       std::uint64_t request_number, const ServerSelection& selection,
       const Attempt& attempt, Duration service_time);
+  // Logs a grant of a backend server that the request must not be sent to.
+  void LogServerOfOtherService(
+      const RequestState& state,
+      const ServerSelector::PendingSelection& pending_selection,
+      std::uint64_t request_number);
   // Makes one attempt: connects if needed, sends the request and reads the
   // response.
   boost::asio::awaitable<Attempt> SendToServer(
--- a/Services/Gateway/server_selector.h
+++ b/Services/Gateway/server_selector.h
@@ -52,6 +52,8 @@
     const std::optional<DispatchDecision>& decision() const {
       return decision_;
     }
+    // IP address of the host that decides or has decided.
+    const std::string& dispatcher_ip() const { return dispatcher_ip_; }
     // Reports the end of a granted selection. Must be called after a decision
     // of kSend.
     void ReportEnd(const SelectionCompletion& completion);
