Gateway: Number requests apart from those of earlier processes

Cause: request numbers began at 1 in each process, and a dispatcher decides what a killed process had queued. The new process took those decisions for its requests of the same numbers.

Change: the numbers of a process start at a base drawn from its start time and random bits. A host also never sends a request to a server of another service. No message changes its format.

--- a/Libraries/Balancing/backend_server_state.h
+++ b/Libraries/Balancing/backend_server_state.h
@@ -21,7 +21,9 @@
   kUnreachable,  // connection failed
   kMisdirected,  // a different server listens at the address
   kAbandoned,    // the caller disconnected or the deadline passed
-  kHeldBack,     // not sent: the server wants nothing from this host
+  // Not sent: the server wants nothing from this host, or belongs to another
+  // service than the request.
+  kHeldBack,
 };
 
 // What a backend server's responses ask of its callers, for as long as they say
--- a/Libraries/Balancing/dispatcher.h
+++ b/Libraries/Balancing/dispatcher.h
@@ -15,7 +15,7 @@
 // dispatcher of its service in its availability zone.
 struct DispatchRequest {
   std::string host;                  // entry host that holds the request
-  std::uint64_t request_number = 0;  // unique per host
+  std::uint64_t request_number = 0;  // unique per host and over its restarts
   ServiceId service;
   unsigned priority = 0;  // 0 is the most urgent
   Duration
--- a/Services/Gateway/request_forwarder.cc
+++ b/Services/Gateway/request_forwarder.cc
@@ -235,24 +235,27 @@
   ServerAttempt server_attempt;
   server_attempt.selection = *pending_selection.decision()->selection;
   const Duration service_time = TypicalServiceTime(state.route);
-  LogServerOfOtherService(state, pending_selection, request_number);
   state.tried_servers.push_back(server_attempt.selection.server);
-  server_attempt.attempt =
-      co_await SendToServer(state, server_attempt.selection);
+  if (is_server_of_other_service(state, pending_selection, request_number)) {
+    server_attempt.attempt.outcome = AttemptOutcome::kHeldBack;
+  } else {
+    server_attempt.attempt =
+        co_await SendToServer(state, server_attempt.selection);
+  }
   pending_selection.ReportEnd(
       MakeSelectionCompletion(request_number, server_attempt.selection,
                               server_attempt.attempt, service_time));
   co_return server_attempt;
 }
 
-void RequestForwarder::LogServerOfOtherService(
+bool RequestForwarder::is_server_of_other_service(
     const RequestState& state,
     const ServerSelector::PendingSelection& pending_selection,
     std::uint64_t request_number) {
   const BackendServerState* server = context_.server_table.Find(
       pending_selection.decision()->selection->server);
   if (server == nullptr || server->registration.service == state.service)
-    return;
+    return false;
   context_.metrics.selections_of_other_services.Add();
   context_.log->Record(
       EventId::kServerOfOtherService,
@@ -262,6 +265,7 @@
        {"server", server->registration.id.value()},
        {"server_service", server->registration.service.value()},
        {"dispatcher", pending_selection.dispatcher_ip()}});
+  return true;
 }
 
 asio::awaitable<RequestForwarder::Attempt> RequestForwarder::SendToServer(
--- a/Services/Gateway/request_forwarder.h
+++ b/Services/Gateway/request_forwarder.h
@@ -134,8 +134,9 @@
   static SelectionCompletion MakeSelectionCompletion(
       std::uint64_t request_number, const ServerSelection& selection,
       const Attempt& attempt, Duration service_time);
-  // Logs a grant of a backend server that the request must not be sent to.
-  void LogServerOfOtherService(
+  // Whether the granted backend server belongs to a service that the request
+  // must not be run by. Logs it.
+  bool is_server_of_other_service(
       const RequestState& state,
       const ServerSelector::PendingSelection& pending_selection,
       std::uint64_t request_number);
--- a/Services/Gateway/server_selector.cc
+++ b/Services/Gateway/server_selector.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Libraries/Routing/rendezvous.h"
+
 namespace dogwood {
 
 namespace asio = boost::asio;
@@ -13,13 +15,21 @@
 
 constexpr auto kUseAwaitableTuple = asio::as_tuple(asio::use_awaitable);
 
+// The time of day alone would not do: it may be set back between two starts.
+std::uint64_t DrawFirstRequestNumber(GatewayContext& context) {
+  const auto started_at = static_cast<std::uint64_t>(
+      WallClockNow().time_since_epoch().count());
+  return CombineHashes(started_at, context.random_engine());
+}
+
 }  // namespace
 
 ServerSelector::ServerSelector(GatewayContext& context, SendFunction send)
     : context_(context),
       send_(std::move(send)),
       local_dispatcher_(context.server_table, context.peer_table,
-                        context.random_engine) {}
+                        context.random_engine),
+      last_request_number_(DrawFirstRequestNumber(context)) {}
 
 ServerSelector::~ServerSelector() {
   for (const auto& [request_number, pending_selection] : pending_selections_)
--- a/Services/Gateway/server_selector.h
+++ b/Services/Gateway/server_selector.h
@@ -78,7 +78,9 @@
   ServerSelector(const ServerSelector&) = delete;
   ServerSelector& operator=(const ServerSelector&) = delete;
 
-  // Returns the number for a new request, unique on this host.
+  // Returns the number for a new request. It is unique among all processes that
+  // have used or will use this host's address, because a dispatcher may still
+  // decide requests of an earlier one.
   std::uint64_t NextRequestNumber() { return ++last_request_number_; }
 
   // Handle the messages of other hosts.
@@ -108,7 +110,7 @@
   SendFunction send_;
   Dispatcher local_dispatcher_;
   bool is_queue_processing_running_ = false;
-  std::uint64_t last_request_number_ = 0;
+  std::uint64_t last_request_number_;
   std::unordered_map<std::uint64_t, PendingSelection*> pending_selections_;
   // Dispatchers that did not respond, by IP address.
   std::unordered_map<std::string, TimePoint> bypassed_until_;
--- a/Tests/Services/Gateway/gateway_fixture.h
+++ b/Tests/Services/Gateway/gateway_fixture.h
@@ -25,6 +25,7 @@
  public:
   static constexpr std::uint16_t kCallerPort = 7001;
   static constexpr std::uint16_t kReadinessPort = 7002;
+  static constexpr std::uint16_t kPeerPort = 7003;
 
   explicit GatewayFixture(std::string routes = DefaultRoutes())
       : store_(io_), routes_(std::move(routes)) {
