Gateway: Log the requests that a stop cuts

The log counted them only. Event 2208 names each one, when it arrived after the stop signal, and whether its response was being written.

--- a/Libraries/Observe/event_catalogue.cc
+++ b/Libraries/Observe/event_catalogue.cc
@@ -72,6 +72,10 @@
     {EventId::kResponseWaitedForOrder, kInfo, "response-waited-for-order",
      "The response to a pipelined request waited `waited_ms` for the one in "
      "front of it; `behind` more requests follow on the connection."},
+    {EventId::kRequestCutByStop, kWarning, "request-cut-by-stop",
+     "The process stopped while a request ran. The request arrived "
+     "`arrived_ms` after the stop signal; `has_response` tells whether its "
+     "response was being written."},
     {EventId::kServerUnusable, kWarning, "server-unusable",
      "A backend server temporarily gets no requests; `reason` states why."},
     {EventId::kServerAdded, kInfo, "server-added",
--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -39,6 +39,7 @@
   kCallerDisconnected = 2205,
   kRequestSuspected = 2206,
   kResponseWaitedForOrder = 2207,
+  kRequestCutByStop = 2208,
   kServerUnusable = 3000,
   kServerAdded = 3001,
   kServerRemoved = 3002,
--- a/Services/Gateway/caller_connection.cc
+++ b/Services/Gateway/caller_connection.cc
@@ -71,6 +71,18 @@
   if (!is_busy()) Close();
 }
 
+void CallerConnection::LogCutRequests(TimePoint stop_requested_at) const {
+  for (const auto& exchange : exchanges_) {
+    context_.log->Record(
+        EventId::kRequestCutByStop,
+        {{"request", exchange->headers.id.value()},
+         {"arrived_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                            exchange->arrived_at - stop_requested_at)
+                            .count()},
+         {"has_response", exchange->is_answered}});
+  }
+}
+
 asio::awaitable<boost::system::error_code> CallerConnection::Fill() {
   const auto [error, count] =
       co_await socket_.async_read_some(input_.Prepare(), kUseAwaitableTuple);
--- a/Services/Gateway/caller_connection.h
+++ b/Services/Gateway/caller_connection.h
@@ -67,6 +67,8 @@
   void CloseIfTimedOut(TimePoint now);
   // Whether a request has arrived, in part or completely, and has no response.
   bool is_busy() const;
+  // Logs the requests that have no complete response yet.
+  void LogCutRequests(TimePoint stop_requested_at) const;
   // Closes the connection unless it is busy.
   void CloseIfIdle();
 
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -260,6 +260,8 @@
     timer.expires_after(kShutdownPollInterval);
     co_await timer.async_wait(kUseAwaitableTuple);
   }
+  for (const CallerConnection* connection : caller_connections_)
+    connection->LogCutRequests(stop_requested_at);
   context_.log->Record(
       EventId::kProcessStopped,
       {{"cut", static_cast<std::int64_t>(caller_connection_totals_.requests)}});
