Gateway: Start no request late in a stop that may outlast it

Cause: until 3.5 s requests were started on a forecast, four times a moving average that limits outliers; nothing bounds a single request.

Change: requests that arrive later than 2.75 s after the signal are started only if their deadline lies before the forced stop; the others are refused as not run. Requests that wait for a server while the host stops are refused when they can no longer be started, instead of being cut.

--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -240,6 +240,7 @@
       kShutdownReserve;
   context_.serving_state = ServingState::kDraining;
   context_.shutdown = ShutdownSchedule{
+      stop_requested_at + kForecastPeriodAfterStop,
       stop_requested_at + kAcceptPeriodAfterStop, forced_stop_at};
   context_.peer_table.BeginDraining();
   messenger_.AnnounceDraining();
@@ -257,6 +258,7 @@
       if (!has_stopped_accepting) StopAccepting();
       if (has_stopped_accepting && !CloseIdleCallerConnections()) break;
     }
+    server_selector_.RefuseLateSelections(*context_.shutdown, now);
     timer.expires_after(kShutdownPollInterval);
     co_await timer.async_wait(kUseAwaitableTuple);
   }
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -27,6 +27,11 @@
   // failures.
   static constexpr Duration kAcceptPeriodAfterStop =
       std::chrono::milliseconds(3500);
+  // Requests that arrive later after a stop request are not started if they may
+  // outlast the grace period. The platform counts those of callers that were
+  // sent later than 3 s after its signal, which may reach a busy process late.
+  static constexpr Duration kForecastPeriodAfterStop =
+      std::chrono::milliseconds(2750);
   // When idle keep-alive connections are closed after a stop request.
   static constexpr Duration kCloseIdleAfterStop =
       std::chrono::milliseconds(2500);
--- a/Services/Gateway/request_forwarder.cc
+++ b/Services/Gateway/request_forwarder.cc
@@ -191,13 +191,14 @@
     if (completed.index() == 2)
       co_return HandleCallerDisconnect(state, "waiting");
     const auto& decision = pending_selection.decision();
+    const double slowdown =
+        decision && decision->selection ? decision->selection->slowdown : 1;
+    if (is_too_late_to_start(state, slowdown, MonotonicNow()))
+      co_return RejectBeforeShutdown(state);
     if (!decision || decision->admission != AdmissionDecision::kSend) {
       co_return RejectRequest(state, "no backend server has room",
                               decision ? decision->selection : std::nullopt);
     }
-    if (is_too_late_to_start(state, decision->selection->slowdown,
-                             MonotonicNow()))
-      co_return RejectBeforeShutdown(state);
     context_.metrics.selection_wait_duration.Record(MonotonicNow() -
                                                     request.arrived_at);
     const bool may_hedge =
--- a/Services/Gateway/request_forwarder_responses.cc
+++ b/Services/Gateway/request_forwarder_responses.cc
@@ -125,8 +125,8 @@
   if (!context_.shutdown) return false;
   const auto expected_time = std::chrono::duration_cast<Duration>(
       TypicalServiceTime(state.route) * std::max(slowdown, 1.0));
-  return !context_.shutdown->admits(state.request.arrived_at, expected_time,
-                                    now);
+  return !context_.shutdown->admits(state.request.arrived_at, state.deadline,
+                                    expected_time, now);
 }
 
 CallerResponse RequestForwarder::RejectBeforeShutdown(
--- a/Services/Gateway/server_selector.cc
+++ b/Services/Gateway/server_selector.cc
@@ -87,6 +87,21 @@
   return selected;
 }
 
+void ServerSelector::RefuseLateSelections(const ShutdownSchedule& schedule,
+                                          TimePoint now) {
+  for (const auto& [request_number, pending_selection] : pending_selections_) {
+    const DispatchRequest& request = pending_selection->request_;
+    if (pending_selection->decision_ ||
+        schedule.ends_in_time(request.deadline, request.typical_service_time,
+                              now)) {
+      continue;
+    }
+    pending_selection->Cancel();
+    pending_selection->SetDecision(
+        {request.host, request_number, AdmissionDecision::kRefuse, {}});
+  }
+}
+
 void ServerSelector::OnSelectionRequest(const std::string& ip,
                                         const SelectionRequest& message) {
   const TimePoint now = MonotonicNow();
@@ -179,6 +194,10 @@
   const bool is_granted =
       decision_ && decision_->admission == AdmissionDecision::kSend;
   if (decision_ && (!is_granted || has_ended_)) return;
+  Cancel();
+}
+
+void ServerSelector::PendingSelection::Cancel() {
   if (dispatcher_ip_ == selector_->context_.settings.ip) {
     selector_->local_dispatcher_.Cancel(request_.host, request_.request_number,
                                         MonotonicNow());
--- a/Services/Gateway/server_selector.h
+++ b/Services/Gateway/server_selector.h
@@ -63,6 +63,8 @@
 
     boost::asio::awaitable<void> AwaitDispatcher();
     void SetDecision(DispatchDecision decision);
+    // Tells the dispatcher that its decision is not needed or not used.
+    void Cancel();
 
     ServerSelector* selector_;  // null after the selector was destroyed
     DispatchRequest request_;
@@ -83,6 +85,10 @@
   // decide requests of an earlier one.
   std::uint64_t NextRequestNumber() { return ++last_request_number_; }
 
+  // Refuses the requests of this host that still wait for a server and would
+  // most likely be cut off by the forced stop.
+  void RefuseLateSelections(const ShutdownSchedule& schedule, TimePoint now);
+
   // Handle the messages of other hosts.
   void OnSelectionRequest(const std::string& ip,
                           const SelectionRequest& message);
