Balancing: Identify servers by 64-bit keys and check them

Cause: ServerTable::Replace took the 32-bit key for unique and destroyed a state that a pool still pointed to. Evidence: event 3009 named servers of the wrong service that joined later, which is memory used again.

Change: keys have 64 bits; of servers with equal keys the one with the smallest identifier is kept on all hosts, the others are refused (5302). Keys of hosts of the version before are resolved by their lower half.

--- a/Libraries/Balancing/backend_server_state.h
+++ b/Libraries/Balancing/backend_server_state.h
@@ -8,7 +8,8 @@
 namespace dogwood {
 
 // Hash of a backend server's identifier, used in messages between hosts.
-using ServerKey = StrongId<struct ServerKeyTag, std::uint32_t>;
+// ServerTable keeps servers with equal keys apart.
+using ServerKey = StrongId<struct ServerKeyTag, std::uint64_t>;
 
 ServerKey ServerKeyOf(const ServerId& server);
 
--- a/Libraries/Balancing/peer_message.cc
+++ b/Libraries/Balancing/peer_message.cc
@@ -95,7 +95,7 @@
 }
 
 ServerObservation ParseObservation(const Json& item) {
-  return {ServerKey(item.at(0).get<std::uint32_t>()),
+  return {ServerKey(item.at(0).get<std::uint64_t>()),
           item.at(1).get<unsigned>(), FromHundredths(item.at(2)),
           FromMilliseconds(item.at(3)), FromMilliseconds(item.at(4)),
           FromHundredths(item.at(5)), item.at(6).get<bool>(),
@@ -115,7 +115,7 @@
 
 ServerSelection ParseSelection(const Json& item) {
   ServerSelection selection;
-  selection.server = ServerKey(item.at(0).get<std::uint32_t>());
+  selection.server = ServerKey(item.at(0).get<std::uint64_t>());
   selection.estimated_cost = FromMilliseconds(item.at(1));
   selection.slowdown = FromHundredths(item.at(2));
   selection.in_flight = item.at(3).get<unsigned>();
@@ -215,7 +215,7 @@
   request.time_left = FromMicroseconds(root.at(8));
   request.body_bytes = root.at(9).get<std::size_t>();
   for (const Json& item : root.at(10))
-    request.excluded.push_back(ServerKey(item.get<std::uint32_t>()));
+    request.excluded.push_back(ServerKey(item.get<std::uint64_t>()));
   request.is_hedge = root.at(11).get<bool>();
   request.retry_safety = ParseEnum(root.at(12), RetrySafety::kNonRetryable);
   return request;
@@ -232,7 +232,7 @@
 SelectionCompletion ParseSelectionCompletion(const Json& root) {
   SelectionCompletion completion;
   completion.request_number = root.at(2).get<std::uint64_t>();
-  completion.server = ServerKey(root.at(3).get<std::uint32_t>());
+  completion.server = ServerKey(root.at(3).get<std::uint64_t>());
   completion.outcome = ParseEnum(root.at(4), AttemptOutcome::kHeldBack);
   completion.service_time_ratio = FromHundredths(root.at(5));
   completion.was_above_knee = root.at(6).get<bool>();
@@ -277,6 +277,20 @@
 
 }  // namespace
 
+void ForEachServerKey(PeerMessage& message,
+                      const std::function<void(ServerKey&)>& visit) {
+  if (auto* gossip = std::get_if<GossipMessage>(&message)) {
+    for (ServerObservation& observation : gossip->observations)
+      visit(observation.server);
+  } else if (auto* request = std::get_if<SelectionRequest>(&message)) {
+    for (ServerKey& server : request->excluded) visit(server);
+  } else if (auto* response = std::get_if<SelectionResponse>(&message)) {
+    if (response->selection) visit(response->selection->server);
+  } else if (auto* completion = std::get_if<SelectionCompletion>(&message)) {
+    visit(completion->server);
+  }
+}
+
 std::vector<std::uint8_t> EncodePeerMessage(const PeerMessage& message) {
   Json out = Json::array({kFormatVersion, message.index()});
   std::visit([&](const auto& content) { Append(out, content); }, message);
--- a/Libraries/Balancing/peer_message.h
+++ b/Libraries/Balancing/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -65,6 +66,10 @@
     std::variant<GossipMessage, SelectionRequest, SelectionResponse,
                  SelectionCompletion, SelectionCancellation, SuspectMessage>;
 
+// Calls `visit` with each server key of the message.
+void ForEachServerKey(PeerMessage& message,
+                      const std::function<void(ServerKey&)>& visit);
+
 std::vector<std::uint8_t> EncodePeerMessage(const PeerMessage& message);
 
 // Fails with kProtocol on malformed bytes or another format version.
--- a/Libraries/Balancing/server_table.cc
+++ b/Libraries/Balancing/server_table.cc
@@ -33,19 +33,32 @@
 }  // namespace
 
 ServerKey ServerKeyOf(const ServerId& server) {
-  return ServerKey(static_cast<std::uint32_t>(HashName(server.value())));
+  return ServerKey(HashName(server.value()));
 }
 
-void ServerTable::Replace(const std::vector<ServerRegistration>& registrations,
-                          TimePoint now) {
+std::vector<ServerId> ServerTable::Replace(
+    const std::vector<ServerRegistration>& registrations, TimePoint now) {
+  std::vector<ServerId> left_out;
   for (auto& [name, pool] : pools_) pool.servers.clear();
   std::unordered_map<ServerKey, std::unique_ptr<BackendServerState>> kept;
   for (const ServerRegistration& registration : registrations) {
-    const ServerKey key = ServerKeyOf(registration.id);
+    const ServerKey key = key_of_(registration.id);
+    const auto [slot, is_new_key] = kept.try_emplace(key);
+    if (!is_new_key) {
+      // All hosts with the same registrations keep the same server.
+      const ServerRegistration& other = slot->second->registration;
+      if (other.id < registration.id) {
+        left_out.push_back(registration.id);
+        continue;
+      }
+      left_out.push_back(other.id);
+      std::erase(pools_[other.service].servers, slot->second.get());
+    }
     auto known = servers_.find(key);
     std::unique_ptr<BackendServerState> state;
     const bool is_same_process =
         known != servers_.end() && known->second &&
+        known->second->registration.id == registration.id &&
         known->second->registration.started_at_ms ==
             registration.started_at_ms &&
         known->second->registration.address == registration.address;
@@ -64,10 +77,22 @@
     }
     state->registration = registration;
     pools_[registration.service].servers.push_back(state.get());
-    kept[key] = std::move(state);
+    slot->second = std::move(state);
   }
   servers_ = std::move(kept);
   RemoveOldHolds(now);
+  short_keys_.clear();
+  for (const auto& [key, server] : servers_) {
+    const auto [known, is_new] = short_keys_.try_emplace(ShortKey(key), key);
+    if (!is_new) known->second.reset();
+  }
+  return left_out;
+}
+
+ServerKey ServerTable::ResolveKey(ServerKey key) const {
+  if (key.value() != ShortKey(key) || servers_.contains(key)) return key;
+  const auto known = short_keys_.find(ShortKey(key));
+  return known == short_keys_.end() ? key : known->second.value_or(key);
 }
 
 void ServerTable::SetColdRequestRate(const ServiceId& service,
--- a/Libraries/Balancing/server_table.h
+++ b/Libraries/Balancing/server_table.h
@@ -72,12 +72,20 @@
   // Longest time for which unused requests of a limited server are kept.
   static constexpr Duration kMaxLimitedBurst = std::chrono::milliseconds(250);
 
-  explicit ServerTable(ZoneId own_zone) : own_zone_(std::move(own_zone)) {}
+  using KeyFunction = ServerKey (*)(const ServerId&);
+
+  explicit ServerTable(ZoneId own_zone, KeyFunction key_of = ServerKeyOf)
+      : own_zone_(std::move(own_zone)), key_of_(key_of) {}
 
   // Replaces the registrations of all backend servers. A changed start time or
-  // address resets the state of a server.
-  void Replace(const std::vector<ServerRegistration>& registrations,
-               TimePoint now);
+  // address resets the state of a server. Of servers with equal keys, only the
+  // one with the smallest identifier is kept; returns the others.
+  std::vector<ServerId> Replace(
+      const std::vector<ServerRegistration>& registrations, TimePoint now);
+  // Returns the key of the server that a key in a message means. Hosts of the
+  // version with 32-bit keys send the lower half of a key, which is returned
+  // unchanged, and names no server, if several servers share it.
+  ServerKey ResolveKey(ServerKey key) const;
   // Servers of a zone whose evacuation ends need a health check first, because
   // they may have become cold.
   void SetEvacuated(std::set<ZoneId> zones, TimePoint now);
@@ -162,6 +170,10 @@
     double cold_request_rate = 1;  // requests per second
   };
 
+  static std::uint32_t ShortKey(ServerKey key) {
+    return static_cast<std::uint32_t>(key.value());
+  }
+
   // What a server's process has asked of this host. Outlives its registration,
   // which may lapse and return.
   struct ServerHold {
@@ -208,10 +220,13 @@
   BackendServerState* FindMutable(ServerKey server);
 
   ZoneId own_zone_;
+  KeyFunction key_of_;
   std::set<ZoneId> evacuated_;
   std::unordered_map<ServerKey, std::unique_ptr<BackendServerState>> servers_;
   std::unordered_map<ServiceId, ServerPool> pools_;
   std::unordered_map<ServerKey, ServerHold> holds_;
+  // Keys by their lower half; absent for those that share it.
+  std::unordered_map<std::uint32_t, std::optional<ServerKey>> short_keys_;
 };
 
 template <typename Predicate>
--- a/Services/Gateway/configuration_replicator.cc
+++ b/Services/Gateway/configuration_replicator.cc
@@ -433,7 +433,13 @@
     }
     applied.registration = registration;
   }
-  context_.server_table.Replace(registrations, now);
+  for (const ServerId& server :
+       context_.server_table.Replace(registrations, now)) {
+    context_.log->Record(
+        EventId::kRegistrationRefused,
+        {{"server", server.value()},
+         {"error", "another server's identifier has the same hash"}});
+  }
   context_.metrics.usable_servers.Set(
       static_cast<std::int64_t>(registrations.size()));
 }
--- a/Services/Gateway/peer_messenger.cc
+++ b/Services/Gateway/peer_messenger.cc
@@ -294,8 +294,11 @@
         asio::buffer(receive_buffer_), sender, kUseAwaitableTuple);
     if (error == asio::error::operation_aborted) co_return;
     if (error) continue;
-    const auto message = DecodePeerMessage({receive_buffer_.data(), size});
+    auto message = DecodePeerMessage({receive_buffer_.data(), size});
     if (message) {
+      ForEachServerKey(message.value(), [this](ServerKey& key) {
+        key = context_.server_table.ResolveKey(key);
+      });
       HandleMessage(sender.address().to_string(), message.value());
       continue;
     }
--- a/Tests/Libraries/Balancing/balancing_fixture.h
+++ b/Tests/Libraries/Balancing/balancing_fixture.h
@@ -24,8 +24,9 @@
   return registration;
 }
 
-inline ServerSelectionQuery MakeQuery() {
-  ServerSelectionQuery query{kTracking};
+// The query refers to the service.
+inline ServerSelectionQuery MakeQuery(const ServiceId& service = kTracking) {
+  ServerSelectionQuery query{service};
   query.typical_service_time = std::chrono::milliseconds(90);
   query.latency_goal = std::chrono::milliseconds(250);
   query.latency_goal_time_left = std::chrono::milliseconds(250);
--- a/Tests/Libraries/Balancing/peer_message_test.cc
+++ b/Tests/Libraries/Balancing/peer_message_test.cc
@@ -11,6 +11,9 @@
 
 using namespace std::chrono_literals;
 
+// Needs more than 32 bits.
+constexpr std::uint64_t kLongKey = 0x123456789abcdef0;
+
 template <typename Message>
 Message RoundTrip(const Message& message) {
   const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
@@ -24,7 +27,7 @@
   gossip.sender = {"10.0.0.1", kPalermo, Incarnation(17), 0ms, true, 50};
   gossip.tables = {{12, 30ms}, {0, 4s}};
   gossip.observations = {
-      {ServerKey(4000000000U), 7, 1.5, 80ms, 2s, 0.25, true, {1.125}}};
+      {ServerKey(kLongKey), 7, 1.5, 80ms, 2s, 0.25, true, {1.125}}};
   gossip.peers = {{"10.0.0.2", kCatania, Incarnation(3), 100ms, false}};
   const GossipMessage decoded = RoundTrip(gossip);
   CHECK(decoded.sender.ip == "10.0.0.1");
@@ -33,7 +36,7 @@
   CHECK(decoded.sender.capacity == 50);
   CHECK(decoded.tables.size() == 2);
   CHECK(decoded.tables[1].age == Duration(4s));
-  CHECK(decoded.observations[0].server == ServerKey(4000000000U));
+  CHECK(decoded.observations[0].server == ServerKey(kLongKey));
   CHECK(decoded.observations[0].slowdown == doctest::Approx(1.5));
   CHECK(decoded.observations[0].cold_left == 2s);
   CHECK(decoded.observations[0].is_unreachable);
@@ -102,6 +105,34 @@
   CHECK(!RoundTrip(completion).directives.has_value());
 }
 
+// Guards against messages with keys that were left as hosts of the version with
+// 32-bit keys send them.
+TEST_CASE("All server keys of a message are visited") {
+  const auto resolve = [](PeerMessage message) {
+    ForEachServerKey(message, [](ServerKey& key) {
+      key = ServerKey(key.value() + kLongKey);
+    });
+    return DecodePeerMessage(EncodePeerMessage(message)).value();
+  };
+  GossipMessage gossip;
+  gossip.observations.resize(2);
+  const auto observations =
+      std::get<GossipMessage>(resolve(gossip)).observations;
+  CHECK(observations[0].server == ServerKey(kLongKey));
+  CHECK(observations[1].server == ServerKey(kLongKey));
+  SelectionRequest request;
+  request.excluded = {ServerKey(1), ServerKey(2)};
+  CHECK(std::get<SelectionRequest>(resolve(request)).excluded ==
+        std::vector{ServerKey(kLongKey + 1), ServerKey(kLongKey + 2)});
+  SelectionResponse response{9, AdmissionDecision::kSend, ServerSelection{}};
+  response.selection->server = ServerKey(3);
+  CHECK(std::get<SelectionResponse>(resolve(response)).selection->server ==
+        ServerKey(kLongKey + 3));
+  const SelectionCompletion completion{9, ServerKey(4)};
+  CHECK(std::get<SelectionCompletion>(resolve(completion)).server ==
+        ServerKey(kLongKey + 4));
+}
+
 TEST_CASE("Suspected requests are decoded as encoded") {
   const SuspectRecord refused{18000000000000000000U, {3, 4}, false, 90s};
   const SuspectRecord cleared{7, {}, true};
--- a/Tests/Libraries/Balancing/server_table_test.cc
+++ b/Tests/Libraries/Balancing/server_table_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -43,6 +44,80 @@
   CHECK(fixture.SelectServer(later) == "slow");
 }
 
+// Guards against requests that are run by a server of another service, because
+// the lower halves of the hashes of the servers' identifiers are equal
+// (review/4).
+TEST_CASE("Servers of two services with equal short hashes are kept apart") {
+  const ServiceId proofs("proofs");
+  Fixture fixture;
+  ServerRegistration other = MakeServer("i-00004de7");
+  other.service = proofs;
+  const std::vector<ServerRegistration> servers = {MakeServer("i-00001fc3"),
+                                                   other};
+  for (int i = 0; i < 2; ++i) {
+    fixture.table.Replace(servers, kStart);
+    ReportIdle(fixture.table, "i-00001fc3", kStart);
+    ReportIdle(fixture.table, "i-00004de7", kStart);
+    CHECK(fixture.SelectServer(kStart) == "i-00001fc3");
+    CHECK(fixture.SelectServer(kStart, MakeQuery(proofs)) == "i-00004de7");
+  }
+}
+
+ServerKey KeyByLength(const ServerId& server) {
+  return ServerKey(server.value().size());
+}
+
+// Guards against the use of memory that was freed, and against hosts that hold
+// different servers for one key.
+TEST_CASE("Of servers with equal keys only the smallest identifier is used") {
+  ServerTable table(kPalermo, KeyByLength);
+  ServerTable::Random random(11);
+  const ServiceId proofs("proofs");
+  ServerRegistration b = MakeServer("b");
+  b.service = proofs;
+  std::vector<ServerRegistration> servers = {b, MakeServer("c"),
+                                             MakeServer("a"), MakeServer("dd")};
+  const auto select = [&](const ServiceId& service) -> std::string {
+    const auto selected =
+        table.SelectServer(MakeQuery(service), kColdUseAllowed, random, kStart);
+    return selected ? table.Find(selected->server)->registration.id.value()
+                    : "none";
+  };
+  for (int i = 0; i < 24; ++i) {
+    const std::vector<ServerId> left_out = table.Replace(servers, kStart);
+    CHECK(std::set<ServerId>(left_out.begin(), left_out.end()) ==
+          std::set<ServerId>{ServerId("b"), ServerId("c")});
+    CHECK(table.All().size() == 2);
+    CHECK(select(proofs) == "none");
+    CHECK(table.Find(ServerKey(1))->registration.id == ServerId("a"));
+    std::next_permutation(
+        servers.begin(), servers.end(),
+        [](const auto& left, const auto& right) { return left.id < right.id; });
+  }
+  table.Replace({b}, kStart);
+  CHECK(select(proofs) == "b");
+  CHECK(select(kTracking) == "none");
+}
+
+// Hosts of the version with 32-bit keys send and read the lower half of a key.
+TEST_CASE("The lower half of a key means the only server that has it") {
+  Fixture fixture;
+  const ServerKey first = ServerKeyOf(ServerId("i-00001fc3"));
+  const ServerKey second = ServerKeyOf(ServerId("i-00004de7"));
+  const ServerKey half(static_cast<std::uint32_t>(first.value()));
+  REQUIRE(half.value() == static_cast<std::uint32_t>(second.value()));
+  REQUIRE(first != second);
+  fixture.table.Replace({MakeServer("i-00001fc3")}, kStart);
+  CHECK(fixture.table.ResolveKey(half) == first);
+  CHECK(fixture.table.ResolveKey(first) == first);
+  CHECK(fixture.table.ResolveKey(second) == second);
+  CHECK(fixture.table.ResolveKey(ServerKey(7)) == ServerKey(7));
+  fixture.table.Replace({MakeServer("i-00001fc3"), MakeServer("i-00004de7")},
+                        kStart);
+  CHECK(fixture.table.Find(fixture.table.ResolveKey(half)) == nullptr);
+  CHECK(fixture.table.ResolveKey(second) == second);
+}
+
 TEST_CASE("No server gets more requests than it has slots") {
   Fixture fixture;
   fixture.table.Replace({MakeServer("a"), MakeServer("b")}, kStart);
