Http: Bound what health checks and the store's answers take

Cause: a chunk line or trailers without an end grew the buffer of HttpClient and HttpServer until the timeout, overhead was not counted, an interim response was taken for the final one, and ReadTable followed pages without end.

Before: both subcases of 'A table without end is not read' fail, and http_client_test did not end within 100 s. After: both programs pass.

--- a/Libraries/Http/http_client.cc
+++ b/Libraries/Http/http_client.cc
@@ -69,7 +69,9 @@
       : stream(executor) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  // Bytes that are not parsed yet; chunk lines and trailers are parsed whole.
+  static constexpr std::size_t kMaxBufferBytes = std::size_t{64} << 10U;
+  beast::flat_buffer buffer{kMaxBufferBytes};
 };
 
 HttpClient::HttpClient(asio::any_io_executor executor,
@@ -114,11 +116,24 @@
   }
   http::response_parser<http::string_body> parser;
   parser.body_limit(max_response_body_bytes_);
-  const auto [read_error, read] = co_await http::async_read(
-      connection->stream, connection->buffer, parser, kUseAwaitableTuple);
-  if (read_error) {
+  for (std::uint64_t received_bytes = 0; !parser.is_done();) {
+    const auto [read_error, read_bytes] = co_await http::async_read_some(
+        connection->stream, connection->buffer, parser, kUseAwaitableTuple);
+    if (read_error) {
+      co_return Fail(ErrorCode::kOutcomeUnknown,
+                     host + ": read: " + read_error.message());
+    }
+    received_bytes += read_bytes;
+    if (received_bytes > max_response_body_bytes_ + kMaxOverheadBytes) {
+      co_return Fail(ErrorCode::kOutcomeUnknown,
+                     host + ": read: too many chunk lines");
+    }
+  }
+  // Requests without Expect get no interim response.
+  constexpr unsigned kFirstFinalStatus = 200;
+  if (parser.get().result_int() < kFirstFinalStatus) {
     co_return Fail(ErrorCode::kOutcomeUnknown,
-                   host + ": read: " + read_error.message());
+                   host + ": read: interim response");
   }
   if (parser.get().keep_alive() && connection->buffer.size() == 0) {
     connection->stream.expires_never();
--- a/Libraries/Http/http_client.h
+++ b/Libraries/Http/http_client.h
@@ -17,9 +17,11 @@
 class HttpClient {
  public:
   static constexpr std::uint64_t kDefaultMaxResponseBodyBytes = 64U << 20U;
+  // Greatest total size of the head, chunk lines and trailers of a response.
+  static constexpr std::uint64_t kMaxOverheadBytes = 256U << 10U;
 
-  // A response with a body of more than `max_response_body_bytes` counts as
-  // lost.
+  // A response with a body of more than `max_response_body_bytes`, or with more
+  // overhead than kMaxOverheadBytes beside that, counts as lost.
   HttpClient(
       boost::asio::any_io_executor executor,
       boost::asio::ip::tcp::endpoint endpoint,
--- a/Libraries/Http/http_server.cc
+++ b/Libraries/Http/http_server.cc
@@ -63,7 +63,9 @@
                                       asio::ip::tcp::socket socket) {
   beast::tcp_stream stream(std::move(socket));
   stream.socket().set_option(asio::ip::tcp::no_delay(true));
-  beast::flat_buffer buffer;
+  // Chunk lines and trailers are parsed whole.
+  constexpr std::size_t kMaxBufferBytes = std::size_t{64} << 10U;
+  beast::flat_buffer buffer{kMaxBufferBytes};
   while (!state->is_stopping) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(state->options.body_limit_bytes);
--- a/Services/Gateway/configuration_replicator.cc
+++ b/Services/Gateway/configuration_replicator.cc
@@ -26,6 +26,9 @@
 // Long enough for a configuration of 1000 routes over a 10 Mbit/s link that
 // also carries callers' traffic.
 constexpr Duration kPeerFetchTimeout = std::chrono::milliseconds(1000);
+// A larger update of another host counts as lost.
+constexpr std::uint64_t kMaxPeerUpdateBytes =
+    platform::StoreClient::kMaxTableBytes;
 // How often a host checks whether it has to read the store itself.
 constexpr Duration kPollInterval = std::chrono::milliseconds(100);
 // For reading a whole table.
@@ -243,7 +246,8 @@
   TableReplication& replication = replication_of(table);
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(peer_ip),
                                          context_.settings.first_peer_port);
-  HttpClient client(context_.io_context.get_executor(), endpoint);
+  HttpClient client(context_.io_context.get_executor(), endpoint,
+                    kMaxPeerUpdateBytes);
   HttpRequest request;
   request.target =
       std::string(kTableUpdatePath) + "?name=" + std::string(replication.name) +
--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -44,6 +44,40 @@
   CHECK(rows.value().rows.front().value == "v");
 }
 
+// Guards against a store whose pages never end, which would take the memory of
+// all hosts that read it.
+TEST_CASE("A table without end is not read") {
+  asio::io_context io;
+  std::string row = R"({"key":"a","ver":1,"value":"AAAA"})";
+  std::size_t page_count = 0;
+  SUBCASE("of equal pages") {}
+  SUBCASE("of pages without rows") { row.clear(); }
+  HttpServer::Handler handler =
+      [&](HttpRequest) -> asio::awaitable<HttpResponse> {
+    HttpResponse response;
+    // The first page has a row in any case.
+    response.body =
+        R"({"ver":1,"now":1,"has_more":true,"rows":[)" +
+        (page_count++ == 0 ? R"({"key":"b","ver":1,"value":"AAAA"})" : row) +
+        "]}";
+    co_return response;
+  };
+  const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  auto server = HttpServer::Listen(io.get_executor(), any, {}, handler);
+  REQUIRE(server.has_value());
+  StoreClient client(io.get_executor(), server.value().local_endpoint());
+  std::optional<Result<StoreRows>> rows;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        rows.emplace(co_await client.ReadTable("servers", 2s));
+      },
+      asio::detached);
+  for (int i = 0; i < 2000 && !rows; ++i) io.run_one();
+  REQUIRE(rows.has_value());
+  CHECK(rows->error().code == ErrorCode::kProtocol);
+}
+
 TEST_CASE("Changes and deletions after a version are returned") {
   Fixture fixture;
   fixture.store.Put("op", "config", "one");
