Http: Bound chunk lines and trailers of a body

Here, a chunk line or trailers that do not fit the receive buffer made a host read zero bytes in a loop until the deadline, with all of its processor time, and chunks that hold almost no body held the server's slot until the deadline.

Cause: reading into a full buffer completes at once, and nothing checked for it; nothing counted overhead.

Change: a full buffer is an error, and so are more than 64 kB of overhead that are more than eight times the body so far. The same code serves requests and responses.

--- a/Libraries/Http/body_reader.h
+++ b/Libraries/Http/body_reader.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/system/error_code.hpp>
 #include <concepts>
+#include <cstdint>
 #include <span>
 #include <string_view>
 
@@ -25,6 +26,13 @@
 template <BufferedSource Source>
 class BodyReader {
  public:
+  // Chunk lines and trailers that take more bytes than this, and more than
+  // kMaxOverheadFactor times the body so far, are a parse error: their sender
+  // would hold the connection without sending a body. Chunks of one byte take
+  // five bytes each.
+  static constexpr std::uint64_t kFreeOverheadBytes = std::uint64_t{64} << 10U;
+  static constexpr std::uint64_t kMaxOverheadFactor = 8;
+
   // Result of one read. The slices are valid until the next call of ReadSome()
   // or Release().
   struct ReadResult {
@@ -55,6 +63,11 @@
       if (needs_more) {
         // Fill() may move the bytes that the slices point to.
         if (piece.slice_count > 0) break;
+        // A chunk line or the trailers do not fit the receive buffer.
+        if (source_.input().is_full()) {
+          piece.parse_error = MessageParseError::kOverheadTooLarge;
+          co_return piece;
+        }
         piece.error = co_await source_.Fill();
         if (piece.error) co_return piece;
       }
@@ -69,6 +82,13 @@
         piece.size_bytes += step.body.size();
       }
       parsed_bytes_ += step.consumed_bytes;
+      body_bytes_ += step.body.size();
+      overhead_bytes_ += step.consumed_bytes - step.body.size();
+      if (overhead_bytes_ >
+          kFreeOverheadBytes + kMaxOverheadFactor * body_bytes_) {
+        piece.parse_error = MessageParseError::kOverheadTooLarge;
+        co_return piece;
+      }
       if (piece.slice_count == 0) Release();
       if (piece.slice_count == ReadResult::kMaxSlices && !parser_.is_complete())
         break;
@@ -95,6 +115,8 @@
   Source& source_;
   MessageParser& parser_;
   std::size_t parsed_bytes_ = 0;  // parsed bytes at the front of the buffer
+  std::uint64_t body_bytes_ = 0;
+  std::uint64_t overhead_bytes_ = 0;  // of chunk lines and trailers
 };
 
 }  // namespace dogwood
--- a/Libraries/Http/message_parser.cc
+++ b/Libraries/Http/message_parser.cc
@@ -130,6 +130,8 @@
       return "unsupported transfer coding";
     case MessageParseError::kFoldedField:
       return "folded header field";
+    case MessageParseError::kOverheadTooLarge:
+      return "too many bytes of chunk lines or trailers";
   }
   return "?";
 }
--- a/Libraries/Http/message_parser.h
+++ b/Libraries/Http/message_parser.h
@@ -21,6 +21,7 @@
   kConflictingFraming,  // several lengths, or a length with chunked
   kUnsupportedCoding,   // a transfer coding other than chunked
   kFoldedField,         // a field continued on the next line
+  kOverheadTooLarge,    // too many bytes of chunk lines or trailers
 };
 
 // Description for logs and error responses.
--- a/Libraries/Http/receive_buffer.h
+++ b/Libraries/Http/receive_buffer.h
@@ -21,6 +21,8 @@
     return {bytes_.get() + begin_, end_ - begin_};
   }
   bool empty() const { return begin_ == end_; }
+  // Whether Prepare() returns no space.
+  bool is_full() const { return end_ - begin_ == capacity_; }
 
   // Removes `count` bytes from the front of the data.
   void Consume(std::size_t count) {
--- a/Services/Gateway/server_connection.cc
+++ b/Services/Gateway/server_connection.cc
@@ -126,6 +126,7 @@
       if (!step.needs_more || parser_.is_head_complete()) continue;
       if (const auto error = co_await Fill())
         co_return ExchangeResult::kInvalidResponse;
+      if (input_.is_full()) co_return ExchangeResult::kInvalidResponse;
     }
     if (parser_.head().status >= kFirstFinalStatus) break;
     if (++interim_response_count > kMaxInterimResponses)
--- a/Tests/Services/Gateway/endless_response_test.cc
+++ b/Tests/Services/Gateway/endless_response_test.cc
@@ -73,6 +73,43 @@
   CHECK(SendToEndlessServers(response) <= kMemoryBytes);
 }
 
+// A response without a line end fills the receive buffer before its start line.
+TEST_CASE("Bytes without end that are no response are cut off") {
+  ScriptedResponse response;
+  response.endless_bytes = kPiece;
+  CHECK(SendToEndlessServers(response) <= kMemoryBytes);
+}
+
+const std::string kChunkedHead =
+    "HTTP/1.1 200 OK\r\nX-Server-Stamp: sound\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+// Guards against a host that reads into a full buffer until the deadline, which
+// takes all of its processor time.
+TEST_CASE("Chunk lines without end are cut off") {
+  ScriptedResponse response{kChunkedHead + "1;x="};
+  response.endless_bytes = kPiece;
+  CHECK(SendToEndlessServers(response) <= kMemoryBytes);
+}
+
+TEST_CASE("Trailers without end are cut off") {
+  ScriptedResponse response{kChunkedHead + "1\r\nx\r\n0\r\n"};
+  SUBCASE("of many fields") { response.endless_bytes = "X-Trailer: x\r\n"; }
+  SUBCASE("of one field") {
+    response.bytes += "X-Trailer: ";
+    response.endless_bytes = kPiece;
+  }
+  CHECK(SendToEndlessServers(response) <= kMemoryBytes);
+}
+
+// Guards against servers whose slots are held until the deadline by responses
+// that consist of chunk lines.
+TEST_CASE("Chunks without end that hold almost no body are cut off") {
+  ScriptedResponse response{kChunkedHead};
+  response.endless_bytes = "1;x=" + std::string(1000, 'y') + "\r\nz\r\n";
+  CHECK(SendToEndlessServers(response) <= kMemoryBytes);
+}
+
 // Guards against a host that spends its processor time on reading interim
 // responses until the deadline.
 TEST_CASE("Interim responses without end are cut off") {
