Gateway: Bound responses and heads until callers are done with them

Cause: ResponseMemory counted a body while it was received and forgot it when it was complete; an idle connection even kept the last one. Large heads had no bound over all connections.

Change: the reservation moves with the body until the caller has it. When the memory is used up, the caller that has read nothing for longest, at least 0.3 s, loses its response; other responses wait up to 1 s. One of known length begins only when all of it fits. Allocations of 512 kB and more are mapped. Heads beyond 4 kB share a sixteenth of the memory, request bodies a quarter instead of a third, and callers use three quarters of the sockets. A request body that is not complete by its deadline is no longer read.

--- a/Libraries/Http/socket_io.cc
+++ b/Libraries/Http/socket_io.cc
@@ -42,6 +42,7 @@
 asio::awaitable<void> WriteAll(asio::ip::tcp::socket& socket,
                                PendingWrite& write) {
   while (!TryWriteAll(socket, write)) {
+    write.progressed_at = std::chrono::steady_clock::now();
     const auto [error, count] = co_await socket.async_write_some(
         write.buffers, asio::as_tuple(asio::use_awaitable));
     ConsumeWritten(write, count);
--- a/Libraries/Http/socket_io.h
+++ b/Libraries/Http/socket_io.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <span>
 
 namespace dogwood {
@@ -11,6 +12,8 @@
   std::span<boost::asio::const_buffer> buffers;  // bytes not yet written
   std::size_t written = 0;  // bytes accepted by the kernel, also on failure
   boost::system::error_code error;
+  // When the last bytes were accepted that did not fit the send buffer at once.
+  std::chrono::steady_clock::time_point progressed_at{};
 };
 
 // Writes without waiting and returns false when the send buffer is full. A
--- a/Libraries/Observe/event_catalogue.cc
+++ b/Libraries/Observe/event_catalogue.cc
@@ -76,6 +76,9 @@
      "The process stopped while a request ran. The request arrived "
      "`arrived_ms` after the stop signal; `has_response` tells whether its "
      "response was being written."},
+    {EventId::kStalledCallerAbandoned, kWarning, "stalled-caller-abandoned",
+     "The memory for responses was used up, and a caller that read nothing of "
+     "its response lost it; `written_bytes` of it were sent."},
     {EventId::kServerUnusable, kWarning, "server-unusable",
      "A backend server temporarily gets no requests; `reason` states why."},
     {EventId::kServerAdded, kInfo, "server-added",
--- a/Libraries/Observe/event_catalogue.h
+++ b/Libraries/Observe/event_catalogue.h
@@ -40,6 +40,7 @@
   kRequestSuspected = 2206,
   kResponseWaitedForOrder = 2207,
   kRequestCutByStop = 2208,
+  kStalledCallerAbandoned = 2209,
   kServerUnusable = 3000,
   kServerAdded = 3001,
   kServerRemoved = 3002,
--- a/Services/Gateway/caller_connection.cc
+++ b/Services/Gateway/caller_connection.cc
@@ -1,10 +1,12 @@
 #include "Services/Gateway/caller_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 #include "Services/Gateway/message_builder.h"
 
@@ -60,6 +62,24 @@
   }
 }
 
+std::optional<Duration> CallerConnection::WriteStall(TimePoint now) const {
+  if (pending_write_ == nullptr ||
+      pending_write_->progressed_at == TimePoint{} || is_finished_)
+    return std::nullopt;
+  return now - pending_write_->progressed_at;
+}
+
+void CallerConnection::AbandonStalledCaller() {
+  context_.metrics.stalled_callers_abandoned.Add();
+  context_.log->Record(
+      EventId::kStalledCallerAbandoned,
+      {{"request", exchanges_.front()->headers.id.value()},
+       {"body_bytes",
+        static_cast<std::int64_t>(exchanges_.front()->response.body.size())},
+       {"written_bytes", static_cast<std::int64_t>(pending_write_->written)}});
+  Abandon();
+}
+
 bool CallerConnection::is_busy() const {
   if (!exchanges_.empty()) return true;
   if (is_finished_) return false;
@@ -143,6 +163,23 @@
   co_return is_finished_ ? ReadState::kFinished : ReadState::kReadable;
 }
 
+bool CallerConnection::try_reserve_head(Exchange& exchange) {
+  const std::size_t size =
+      exchange.parser.head().size_bytes() + input_.data().size();
+  if (size <= kFreeHeadBytes + exchange.reserved_head_bytes) return true;
+  const std::size_t missing =
+      size - kFreeHeadBytes - exchange.reserved_head_bytes;
+  exchange.reserved_head_bytes += missing;
+  totals_.large_head_bytes += missing;
+  return totals_.large_head_bytes <=
+         context_.settings.memory_bytes / kLargeHeadMemoryDivisor;
+}
+
+void CallerConnection::ReleaseRequestMemory(Exchange& exchange) {
+  totals_.buffered_body_bytes -= std::exchange(exchange.reserved_body_bytes, 0);
+  totals_.large_head_bytes -= std::exchange(exchange.reserved_head_bytes, 0);
+}
+
 asio::awaitable<CallerConnection::HeadReadResult> CallerConnection::ReadHead(
     Exchange& exchange) {
   const RequestLimits limits =
@@ -165,8 +202,9 @@
           ? HeadReadResult::kTooLarge
           : HeadReadResult::kMalformed;
     }
+    if (!try_reserve_head(exchange)) co_return HeadReadResult::kMemoryExhausted;
     if (step.needs_more && !parser.is_head_complete()) {
-      if (input_.Prepare().size() == 0) co_return HeadReadResult::kTooLarge;
+      if (input_.is_full()) co_return HeadReadResult::kTooLarge;
       const auto error = co_await Fill();
       if (error) co_return HeadReadResult::kClosed;
     }
@@ -196,9 +234,13 @@
     co_await WriteAll(socket_, write);
   }
   body.reserve(parser.content_length());
+  const TimePoint deadline =
+      exchange.arrived_at +
+      exchange.headers.timeout.value_or(RequestForwarder::kDefaultTimeout);
   BodyReader reader(*this, parser);
   while (!parser.is_complete()) {
-    read_deadline_ = MonotonicNow() + kBodyReadTimeout;
+    // A request that is not complete by its deadline cannot be served.
+    read_deadline_ = std::min(MonotonicNow() + kBodyReadTimeout, deadline);
     const auto piece = co_await reader.ReadSome();
     for (std::size_t i = 0; i < piece.slice_count; ++i)
       body.append(piece.slices[i]);
@@ -224,8 +266,15 @@
   const HeadReadResult head_result = co_await ReadHead(*exchange);
   // The bytes that were read may follow the last response.
   if (head_result == HeadReadResult::kClosed || is_finished_ ||
-      (is_draining() && !exchanges_.empty()))
+      (is_draining() && !exchanges_.empty())) {
+    ReleaseRequestMemory(*exchange);
+    co_return ReadState::kFinished;
+  }
+  if (head_result == HeadReadResult::kMemoryExhausted) {
+    co_await Reject(std::move(exchange), kUnavailable,
+                    "no memory for the request head");
     co_return ReadState::kFinished;
+  }
   if (head_result == HeadReadResult::kMalformed) {
     co_await Reject(std::move(exchange), kBadRequest,
                     "the request is malformed");
@@ -249,14 +298,17 @@
        request_forwarder_.is_retryable(exchange->parser.head()));
   if (!may_start) {
     const ReadState state = co_await AwaitAllResponsesWritten();
-    if (state == ReadState::kFinished) co_return state;
+    if (state == ReadState::kFinished) {
+      ReleaseRequestMemory(*exchange);
+      co_return state;
+    }
   }
   const BodyReadResult body_result = co_await ReadBody(*exchange);
   switch (body_result) {
     case BodyReadResult::kRead:
       break;
     case BodyReadResult::kClosed:
-      totals_.buffered_body_bytes -= exchange->reserved_body_bytes;
+      ReleaseRequestMemory(*exchange);
       co_return ReadState::kFinished;
     case BodyReadResult::kMalformed:
       co_await Reject(std::move(exchange), kBadRequest,
@@ -296,7 +348,7 @@
   exchanges_.pop_front();
   --totals_.requests;
   if (!exchanges_.empty()) --totals_.pipelined_requests;
-  totals_.buffered_body_bytes -= spare_exchange_->reserved_body_bytes;
+  ReleaseRequestMemory(*spare_exchange_);
   // Large bodies are rare, so their memory is not kept for the next request.
   constexpr std::size_t kMaxRetainedBodyBytes = std::size_t{64} * 1024;
   if (spare_exchange_->body.capacity() > kMaxRetainedBodyBytes) {
@@ -304,7 +356,7 @@
   } else {
     spare_exchange_->parser.Reset();
     spare_exchange_->body.clear();
-    spare_exchange_->reserved_body_bytes = 0;
+    spare_exchange_->response = {};
     spare_exchange_->is_answered = false;
     spare_exchange_->waits_since.reset();
     spare_exchange_->is_last = false;
@@ -403,7 +455,9 @@
                    is_head_request ? 0 : response.body.size())};
   PendingWrite write{buffers, 0, {}};
   write_deadline_ = MonotonicNow() + kWriteTimeout;
+  pending_write_ = &write;
   co_await WriteAll(socket_, write);
+  pending_write_ = nullptr;
   write_deadline_ = TimePoint::max();
   co_return !write.error;
 }
--- a/Services/Gateway/caller_connection.h
+++ b/Services/Gateway/caller_connection.h
@@ -21,6 +21,7 @@
   // Of `requests`, those behind another one on their connection.
   std::size_t pipelined_requests = 0;
   std::size_t buffered_body_bytes = 0;
+  std::size_t large_head_bytes = 0;  // beyond kFreeHeadBytes of each head
   // Of responses that wait until those before them have been written.
   std::size_t waiting_response_bytes = 0;
 };
@@ -35,8 +36,13 @@
 class CallerConnection {
  public:
   // Buffered request bodies of all connections may take this fraction of the
-  // process's memory limit: one third.
-  static constexpr std::size_t kBodyMemoryDivisor = 3;
+  // process's memory limit: one quarter.
+  static constexpr std::size_t kBodyMemoryDivisor = 4;
+  // What heads take beyond this size...
+  static constexpr std::size_t kFreeHeadBytes = std::size_t{4} << 10U;
+  // ...may take this fraction of the process's memory limit over all
+  // connections: one sixteenth.
+  static constexpr std::size_t kLargeHeadMemoryDivisor = 16;
   // Longest time without progress while a request body is read.
   static constexpr Duration kBodyReadTimeout = std::chrono::seconds(10);
   // Longest time to write a response to a caller.
@@ -65,6 +71,11 @@
 
   // Closes the connection when its current read or write has timed out.
   void CloseIfTimedOut(TimePoint now);
+  // How long the caller has taken no bytes of a response that does not fit the
+  // send buffer; absent unless it is being written.
+  std::optional<Duration> WriteStall(TimePoint now) const;
+  // Gives up the responses of a caller that does not read them.
+  void AbandonStalledCaller();
   // Whether a request has arrived, in part or completely, and has no response.
   bool is_busy() const;
   // Logs the requests that have no complete response yet.
@@ -77,7 +88,13 @@
   ReceiveBuffer& input() { return input_; }
 
  private:
-  enum class HeadReadResult { kRead, kClosed, kMalformed, kTooLarge };
+  enum class HeadReadResult {
+    kRead,
+    kClosed,
+    kMalformed,
+    kTooLarge,
+    kMemoryExhausted
+  };
   enum class BodyReadResult {
     kRead,
     kClosed,
@@ -93,6 +110,7 @@
     MessageParser parser{MessageKind::kRequest};
     std::string body;
     std::size_t reserved_body_bytes = 0;  // of buffered_body_bytes
+    std::size_t reserved_head_bytes = 0;  // of large_head_bytes
     platform::CallerHeaders headers;
     TimePoint arrived_at{};
     bool is_answered = false;  // `response` is set
@@ -110,6 +128,11 @@
   boost::asio::awaitable<ReadState> ReadRequest();
   boost::asio::awaitable<HeadReadResult> ReadHead(Exchange& exchange);
   boost::asio::awaitable<BodyReadResult> ReadBody(Exchange& exchange);
+  // Counts the bytes of a head that is being read. Returns whether there is
+  // memory for them.
+  bool try_reserve_head(Exchange& exchange);
+  // Takes the request's bytes off the totals.
+  void ReleaseRequestMemory(Exchange& exchange);
   // Waits until the bounds allow reading another request. Returns kFinished
   // when the connection is closed after the requests that were read.
   boost::asio::awaitable<ReadState> AwaitRoomForRequest();
@@ -165,6 +188,7 @@
   bool is_idle_ = true;  // no byte of the next request has arrived
   bool is_input_closed_ = false;
   bool is_writing_ = false;
+  const PendingWrite* pending_write_ = nullptr;  // of the current response
   bool is_finished_ = false;  // no further response will be written
 };
 
--- a/Services/Gateway/caller_messages.h
+++ b/Services/Gateway/caller_messages.h
@@ -6,6 +6,7 @@
 #include "Libraries/Balancing/balancing.h"
 #include "Libraries/Http/http.h"
 #include "Services/Gateway/disconnect_signal.h"
+#include "Services/Gateway/response_memory.h"
 #include "platform/platform.h"
 
 namespace dogwood {
@@ -43,6 +44,7 @@
   unsigned status = 503;
   std::string head;  // without the empty line at its end
   std::string body;
+  ResponseMemory::Reservation body_memory;
 };
 
 }  // namespace dogwood
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "Services/Gateway/gateway.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -61,7 +62,10 @@
       request_forwarder_(context_, server_selector_, poison_request_guard_),
       acceptor_(io_context),
       stop_signals_(io_context, SIGTERM, SIGINT),
-      reload_signals_(io_context, SIGHUP) {}
+      reload_signals_(io_context, SIGHUP) {
+  request_forwarder_.response_memory().set_on_exhausted(
+      [this] { AbandonMostStalledCaller(); });
+}
 
 Result<void> Gateway::Listen(const tcp::endpoint& endpoint,
                              HttpServer::Handler handler) {
@@ -139,6 +143,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(
           version_ages.front().age.value_or(Duration::zero()))
           .count());
+  context_.metrics.response_body_bytes.Set(static_cast<std::int64_t>(
+      request_forwarder_.response_memory().used_bytes()));
   HttpResponse response;
   response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
   response.body = context_.registry.ToPrometheusText();
@@ -155,8 +161,19 @@
   refused_request_store_.Save(refused);
 }
 
+std::size_t Gateway::MaxCallerConnections() const {
+  const std::size_t all = context_.settings.max_file_descriptors;
+  const std::size_t sockets = all - std::min(kReservedFileDescriptors, all / 2);
+  return sockets - sockets / 4;
+}
+
 asio::awaitable<void> Gateway::AcceptConnections() {
   for (;;) {
+    while (caller_connection_totals_.connections >= MaxCallerConnections() &&
+           acceptor_.is_open()) {
+      asio::steady_timer pause(io_context_, kAcceptRetryDelay);
+      co_await pause.async_wait(kUseAwaitableTuple);
+    }
     auto [error, socket] = co_await acceptor_.async_accept(kUseAwaitableTuple);
     // A connection may have been accepted just before the acceptor was closed.
     if (error && !acceptor_.is_open()) co_return;
@@ -172,6 +189,22 @@
   }
 }
 
+void Gateway::AbandonMostStalledCaller() {
+  const TimePoint now = MonotonicNow();
+  if (now - caller_abandoned_at_ < kAbandonInterval) return;
+  CallerConnection* most_stalled = nullptr;
+  Duration longest_stall = kMinWriteStall;
+  for (CallerConnection* connection : caller_connections_) {
+    const auto stall = connection->WriteStall(now);
+    if (!stall || *stall < longest_stall) continue;
+    longest_stall = *stall;
+    most_stalled = connection;
+  }
+  if (most_stalled == nullptr) return;
+  caller_abandoned_at_ = now;
+  most_stalled->AbandonStalledCaller();
+}
+
 bool Gateway::CloseIdleCallerConnections() {
   bool is_any_busy = false;
   for (CallerConnection* connection : caller_connections_) {
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -41,6 +41,16 @@
   // Between checks of timeouts and flushes of the log.
   static constexpr Duration kSweepInterval = std::chrono::milliseconds(100);
   static constexpr Duration kSettingsCheckInterval = std::chrono::seconds(1);
+  // A caller that has read nothing of its response for this long may lose it
+  // when the memory for responses is used up. Longer than a retransmission
+  // takes.
+  static constexpr Duration kMinWriteStall = std::chrono::milliseconds(300);
+  // Between two callers that lose their responses: the memory of the first one
+  // is released only after a pass through the event loop.
+  static constexpr Duration kAbandonInterval =
+      ServerConnection::kMemoryPollInterval;
+  // File descriptors that are not for sockets.
+  static constexpr std::size_t kReservedFileDescriptors = 200;
 
   Gateway(boost::asio::io_context& io_context, platform::HostSettings settings,
           std::string settings_path, std::unique_ptr<EventLog> log);
@@ -51,8 +61,13 @@
 
  private:
   boost::asio::awaitable<void> AcceptConnections();
+  // Gives up the response of the caller that has read nothing for longest.
+  void AbandonMostStalledCaller();
   // Returns whether any caller connection is busy.
   bool CloseIdleCallerConnections();
+  // Greatest number of caller connections: a quarter of the descriptors is left
+  // to connections to backend servers, to the store and between hosts.
+  std::size_t MaxCallerConnections() const;
   // Accepts the connections that wait and closes the acceptor.
   void StopAccepting();
   boost::asio::awaitable<void> ServeConnection(
@@ -82,6 +97,7 @@
   PeerMessenger messenger_;
   HealthChecker health_checker_;
   RequestForwarder request_forwarder_;
+  TimePoint caller_abandoned_at_{};
   CallerConnectionTotals caller_connection_totals_;
   std::set<CallerConnection*> caller_connections_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/Services/Gateway/gateway_metrics.h
+++ b/Services/Gateway/gateway_metrics.h
@@ -47,6 +47,10 @@
             registry.FindOrCreateCounter("dogwood_requests_held_back_total")),
         selections_of_other_services(registry.FindOrCreateCounter(
             "dogwood_selections_of_other_services_total")),
+        stalled_callers_abandoned(registry.FindOrCreateCounter(
+            "dogwood_stalled_callers_abandoned_total")),
+        response_body_bytes(
+            registry.FindOrCreateGauge("dogwood_response_body_bytes")),
         limited_servers(registry.FindOrCreateGauge("dogwood_limited_servers")),
         refused_fingerprints(
             registry.FindOrCreateGauge("dogwood_refused_fingerprints")),
@@ -79,6 +83,8 @@
   Counter& pipelining_bound_reached;
   Counter& requests_held_back;  // from servers that want none of this host
   Counter& selections_of_other_services;  // grants of a wrong server
+  Counter& stalled_callers_abandoned;     // for lack of response memory
+  Gauge& response_body_bytes;             // held, see ResponseMemory
   Gauge& limited_servers;
   Gauge& refused_fingerprints;  // of requests that crash servers
   LatencyHistogram& request_duration;
--- a/Services/Gateway/main.cc
+++ b/Services/Gateway/main.cc
@@ -1,5 +1,6 @@
 // dogwood-gateway: the load balancer process of an entry host.
 #include <getopt.h>
+#include <malloc.h>
 
 #include <array>
 #include <charconv>
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr int kExitUsage = 2;
+// Larger allocations return to the system when they are freed.
+constexpr int kMappedAllocationBytes = 512 * 1024;
 constexpr const char* kUsage =
     "Usage: dogwood-gateway [--settings FILE] [--metrics-port PORT]\n"
     "                       [--log-level debug|info|warning|error]\n"
@@ -126,6 +129,9 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  // A constant threshold: the C library would raise it when a large body is
+  // freed, and keep the memory of later ones.
+  mallopt(M_MMAP_THRESHOLD, dogwood::kMappedAllocationBytes);
   const auto command = dogwood::ParseCommandLine(argc, argv);
   if (!command) {
     std::fprintf(stderr, "dogwood-gateway: %s\n%s",
--- a/Services/Gateway/request_forwarder.h
+++ b/Services/Gateway/request_forwarder.h
@@ -48,6 +48,9 @@
   boost::asio::awaitable<CallerResponse> Serve(const CallerRequest& request);
   // Whether the request matches a route whose requests may run more than once.
   bool is_retryable(const MessageHead& request_head) const;
+  ResponseMemory& response_memory() {
+    return connection_pool_.response_memory();
+  }
   void CloseExpiredConnections(TimePoint now) {
     connection_pool_.CloseExpired(now);
   }
--- a/Services/Gateway/request_forwarder_responses.cc
+++ b/Services/Gateway/request_forwarder_responses.cc
@@ -75,8 +75,10 @@
        ? context_.metrics.requests_served
        : context_.metrics.requests_failed)
       .Add();
-  return BuildForwardedResponse(response,
-                                std::move(attempt.connection->response_body()));
+  CallerResponse forwarded = BuildForwardedResponse(
+      response, std::move(attempt.connection->response_body()));
+  forwarded.body_memory = std::move(attempt.connection->response_memory());
+  return forwarded;
 }
 
 CallerResponse RequestForwarder::RejectRequest(
--- a/Services/Gateway/server_connection.cc
+++ b/Services/Gateway/server_connection.cc
@@ -112,6 +112,8 @@
   bool has_read = !input_.empty();
   parser_.Reset(is_head_request);
   body_.clear();
+  reservation_ = ResponseMemory::Reservation(response_memory_);
+  Duration memory_wait_left = kMaxMemoryWait;
   for (;;) {
     while (!parser_.is_head_complete()) {
       if (input_.empty()) {
@@ -124,21 +126,39 @@
       input_.Consume(step.consumed_bytes);
       if (step.parse_error) co_return ExchangeResult::kInvalidResponse;
       if (!step.needs_more || parser_.is_head_complete()) continue;
+      if (input_.is_full()) co_return ExchangeResult::kInvalidResponse;
       if (const auto error = co_await Fill())
         co_return ExchangeResult::kInvalidResponse;
-      if (input_.is_full()) co_return ExchangeResult::kInvalidResponse;
     }
     if (parser_.head().status >= kFirstFinalStatus) break;
     if (++interim_response_count > kMaxInterimResponses)
       co_return ExchangeResult::kInvalidResponse;
     parser_.Reset(is_head_request);  // skips a 1xx interim response
   }
+  if (parser_.framing() == BodyFraming::kLength) {
+    if (parser_.content_length() > kMaxResponseBodyBytes)
+      co_return ExchangeResult::kInvalidResponse;
+    // Responses that each hold a part of the memory would wait for each other.
+    const std::size_t length = parser_.content_length();
+    bool has_room = response_memory_->has_room(length, length);
+    if (!has_room) {
+      has_room = co_await AwaitMemory(
+          [&] { return response_memory_->has_room(length, length); },
+          memory_wait_left);
+    }
+    if (!has_room) co_return ExchangeResult::kInvalidResponse;
+    body_.reserve(length);
+  }
   BodyReader reader(*this, parser_);
-  ResponseMemory::Reservation reservation(response_memory_);
   while (!parser_.is_complete()) {
     const auto piece = co_await reader.ReadSome();
-    if (!reservation.try_reserve(piece.size_bytes))
-      co_return ExchangeResult::kInvalidResponse;
+    bool has_memory = reservation_.try_reserve(piece.size_bytes);
+    if (!has_memory) {
+      has_memory = co_await AwaitMemory(
+          [&] { return reservation_.try_reserve(piece.size_bytes); },
+          memory_wait_left);
+    }
+    if (!has_memory) co_return ExchangeResult::kInvalidResponse;
     for (std::size_t i = 0; i < piece.slice_count; ++i)
       body_.append(piece.slices[i]);
     if (piece.parse_error || body_.size() > kMaxResponseBodyBytes)
@@ -157,6 +177,20 @@
   co_return ExchangeResult::kCompleted;
 }
 
+asio::awaitable<bool> ServerConnection::AwaitMemory(
+    std::function<bool()> has_memory, Duration& time_left) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  while (time_left > Duration::zero()) {
+    response_memory_->OnExhausted();
+    timer.expires_after(kMemoryPollInterval);
+    const auto [error] = co_await timer.async_wait(kUseAwaitableTuple);
+    if (error) co_return false;
+    time_left -= kMemoryPollInterval;
+    if (has_memory()) co_return true;
+  }
+  co_return false;
+}
+
 bool ServerConnection::is_healthy() {
   if (!socket_.is_open() || !input_.empty()) return false;
   char byte = 0;
--- a/Services/Gateway/server_connection.h
+++ b/Services/Gateway/server_connection.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -32,6 +33,9 @@
  public:
   // A larger response body is treated as an invalid response.
   static constexpr std::size_t kMaxResponseBodyBytes = std::size_t{32} << 20U;
+  // How long a response waits in all until others release memory.
+  static constexpr Duration kMaxMemoryWait = std::chrono::seconds(1);
+  static constexpr Duration kMemoryPollInterval = std::chrono::milliseconds(10);
 
   ServerConnection(const boost::asio::any_io_executor& executor,
                    std::shared_ptr<ResponseMemory> response_memory);
@@ -51,6 +55,8 @@
   // Valid after kCompleted, until the next exchange.
   const MessageHead& response_head() const { return parser_.head(); }
   std::string& response_body() { return body_; }
+  // Memory of the body; it belongs to whoever takes the body.
+  ResponseMemory::Reservation& response_memory() { return reservation_; }
   std::uint64_t skipped_response_count() const {
     return skipped_response_count_;
   }
@@ -77,12 +83,17 @@
   boost::asio::awaitable<ExchangeResult> ReceiveResponse(
       std::string_view request_id, bool is_head_request);
   boost::asio::awaitable<ExchangeResult> ReadResponse(bool is_head_request);
+  // Waits until `has_memory` returns true, at most for `time_left`, which it
+  // reduces. Returns what it returned last.
+  boost::asio::awaitable<bool> AwaitMemory(std::function<bool()> has_memory,
+                                           Duration& time_left);
 
   boost::asio::ip::tcp::socket socket_;
   std::shared_ptr<ResponseMemory> response_memory_;
   ReceiveBuffer input_;
   MessageParser parser_{MessageKind::kResponse};
   std::string body_;
+  ResponseMemory::Reservation reservation_;  // for `body_`
   bool is_request_written_ = false;
   bool is_reusable_ = false;
   std::uint64_t skipped_response_count_ = 0;
--- a/Services/Gateway/server_connection_pool.h
+++ b/Services/Gateway/server_connection_pool.h
@@ -29,6 +29,7 @@
         response_memory_(
             std::make_shared<ResponseMemory>(process_memory_bytes)) {}
 
+  ResponseMemory& response_memory() { return *response_memory_; }
   // Returns an idle connection, or a new one that is not connected yet.
   std::unique_ptr<ServerConnection> Acquire(ServerKey server,
                                             RetrySafety retry_safety,
--- a/Tests/Services/Gateway/endless_request_test.cc
+++ b/Tests/Services/Gateway/endless_request_test.cc
@@ -86,5 +86,40 @@
   CHECK(backend.received_requests().size() == 1);
 }
 
+// Guards against large heads of many connections that take the memory of a
+// host: each is within its limit.
+TEST_CASE("Large heads of all connections together are bounded") {
+  GatewayFixture fixture;
+  fixture.set_memory("8");
+  fixture.AddBackend("i-1", [](const ReceivedRequest& request) {
+    return ScriptedResponse{
+        ScriptedBackendServer::OkResponse(request, "sound")};
+  });
+  fixture.StartAndWaitUntilReady();
+  // A sixteenth of 8 MB is the excess of 44 heads of 16 kB over 4 kB.
+  constexpr int kCallerCount = 60;
+  std::vector<asio::ip::tcp::socket> callers;
+  for (int i = 0; i < kCallerCount; ++i) {
+    callers.emplace_back(fixture.io());
+    callers.back().connect(fixture.caller_endpoint());
+    asio::write(callers.back(), asio::buffer("GET / HTTP/1.1\r\nX-Long: " +
+                                             std::string(15900, 'x')));
+  }
+  fixture.RunFor(200ms);
+  CHECK(fixture.SendRequest("POST", "/write/sound", "id-sound", "b")
+            .starts_with("HTTP/1.1 200 "));
+  int refused_count = 0;
+  for (auto& caller : callers) {
+    std::array<char, 1024> buffer{};
+    boost::system::error_code error;
+    caller.non_blocking(true);
+    const auto count = caller.read_some(asio::buffer(buffer), error);
+    const std::string_view response(buffer.data(), count);
+    if (response.starts_with("HTTP/1.1 503 ")) ++refused_count;
+  }
+  CHECK(refused_count >= kCallerCount - 45);
+  CHECK(refused_count < kCallerCount);
+}
+
 }  // namespace
 }  // namespace dogwood
--- a/Tests/Services/Gateway/gateway_fixture.h
+++ b/Tests/Services/Gateway/gateway_fixture.h
@@ -141,6 +141,8 @@
     return text + "\r\n" + body;
   }
 
+  // Sets the memory of hosts that start later, in megabytes.
+  void set_memory(const std::string& megabytes) { memory_ = megabytes; }
   // Sets the grace period of hosts that start later.
   void set_grace(const std::string& grace) { grace_ = grace; }
 
@@ -220,6 +222,7 @@
          << "  grace: " << grace_
          << "\nplatform:\n  address: 127.0.0.1:" << store_.endpoint().port()
          << "\n";
+    if (!memory_.empty()) file << "limits:\n  memory_mb: " << memory_ << "\n";
     // The port of a seed is ignored; hosts use their configured peer port.
     if (!seed_address.empty())
       file << "seeds: [\"" << seed_address << ":1\"]\n";
@@ -230,6 +233,7 @@
   FakeStoreServer store_;
   std::string routes_;
   std::string grace_ = "1500ms";
+  std::string memory_;
   std::vector<std::unique_ptr<ScriptedBackendServer>> backends_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::string address_;
