--- a/Services/Gateway/server_selector.cc
+++ b/Services/Gateway/server_selector.cc
@@ -17,8 +17,8 @@
 
 // The time of day alone would not do: it may be set back between two starts.
 std::uint64_t DrawFirstRequestNumber(GatewayContext& context) {
-  const auto started_at = static_cast<std::uint64_t>(
-      WallClockNow().time_since_epoch().count());
+  const auto started_at =
+      static_cast<std::uint64_t>(WallClockNow().time_since_epoch().count());
   return CombineHashes(started_at, context.random_engine());
 }
 
--- a/Tests/Services/Gateway/server_selector_test.cc
+++ b/Tests/Services/Gateway/server_selector_test.cc
@@ -58,7 +58,7 @@
   Message Take() {
     REQUIRE(!messages.empty());
     REQUIRE(std::holds_alternative<Message>(messages.front()));
-    const auto message = std::get<Message>(messages.front());
+    auto message = std::get<Message>(messages.front());
     messages.pop_front();
     return message;
   }
@@ -211,7 +211,8 @@
 
 // Guards against requests that are run by a service that their route does not
 // name, whatever makes the dispatcher select its server.
-TEST_CASE("A server of another service that a dispatcher selects gets nothing") {
+TEST_CASE(
+    "A server of another service that a dispatcher selects gets nothing") {
   GatewayFixture fixture;
   const auto respond = [](const ReceivedRequest& request) {
     return ScriptedResponse{
--- a/Tests/Services/Gateway/shutdown_test.cc
+++ b/Tests/Services/Gateway/shutdown_test.cc
@@ -26,7 +26,8 @@
   CHECK_FALSE(schedule.admits(start + 2s, late_deadline, 100ms, start + 2s));
   CHECK(schedule.admits(start + 2s, start + 5s, 100ms, start + 2s));
   CHECK_FALSE(schedule.admits(start + 2s, start + 5001ms, 100ms, start + 2s));
-  // A deadline before the forced stop is enough, however long the request takes.
+  // A deadline before the forced stop is enough, however long the request
+  // takes.
   CHECK(schedule.admits(start, start + 5s, 2s, start));
 }
 
@@ -75,11 +76,10 @@
   // The server has six slots.
   std::array<std::string, 7> responses;
   for (std::size_t i = 0; i < responses.size(); ++i) {
-    fixture.StartRequest(
-        GatewayFixture::FormatRequest("POST", "/write/",
-                                      "id-" + std::to_string(i), "b", "",
-                                      "close", "20000"),
-        responses[i]);
+    fixture.StartRequest(GatewayFixture::FormatRequest(
+                             "POST", "/write/", "id-" + std::to_string(i), "b",
+                             "", "close", "20000"),
+                         responses[i]);
     fixture.RunFor(20ms);
   }
   ::raise(SIGTERM);
