Tests: Let waiting responses end before callers read

'Responses that are not read stay within the memory of the host' failed in 2 of 5 runs of gateway_test, with 9,000,000 bytes of 8,388,608 allowed.

Cause: responses wait for memory up to 1 s, and the test began to read after 0.8 s. Reading one response let a waiting one begin, so the sum was not held at one time.

Change: the test waits until no response can wait; the bound is the same.

--- a/Tests/Services/Gateway/slow_caller_test.cc
+++ b/Tests/Services/Gateway/slow_caller_test.cc
@@ -79,7 +79,8 @@
     callers.push_back(std::make_unique<SlowCaller>(fixture, i));
     fixture.RunFor(100ms);
   }
-  fixture.RunFor(800ms);
+  // No response waits for memory any more, so reading one lets no other begin.
+  fixture.RunFor(ServerConnection::kMaxMemoryWait + 500ms);
   CHECK(fixture.SendRequest("POST", "/write/sound", "id-sound", "b")
             .ends_with("sound"));
   // A response that a caller still gets whole has been held for it. Of the
