--- a/review/6/scenario.cc
+++ b/review/6/scenario.cc
@@ -32,6 +32,8 @@
 constexpr int kWarmUpRounds = 20;
 constexpr const char* kService = "tracking";
 constexpr const char* kZone = "palermo";
+// The path between the zones is cut. No gateway runs here.
+constexpr const char* kOtherZone = "catania";
 constexpr const char* kHost = "calls.example";
 constexpr unsigned kSlots = 6;
 constexpr Duration kWorkTime = std::chrono::milliseconds(120);
@@ -76,8 +78,11 @@
 class Backend {
  public:
   Backend(asio::io_context& io, FakeStoreServer& store, CaseRecord& record,
-          std::string id)
-      : store_(store), record_(record), id_(std::move(id)) {
+          std::string id, std::string zone)
+      : store_(store),
+        record_(record),
+        id_(std::move(id)),
+        zone_(std::move(zone)) {
     auto server = HttpServer::Listen(
         io.get_executor(), {asio::ip::make_address("127.0.0.1"), 0}, {},
         [this](HttpRequest request) { return Handle(std::move(request)); });
@@ -169,6 +174,7 @@
   FakeStoreServer& store_;
   CaseRecord& record_;
   std::string id_;
+  std::string zone_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HeldLink> link_;
   std::int64_t started_at_ms_ = 0;  // Unix time
@@ -290,8 +296,8 @@
 
 asio::awaitable<int> LateDeliveryCase::Run() {
   PublishConfiguration();
-  Backend leaving(io_, store_, record_, "i-leaving");
-  Backend staying(io_, store_, record_, "i-staying");
+  Backend leaving(io_, store_, record_, "i-leaving", kOtherZone);
+  Backend staying(io_, store_, record_, "i-staying", kZone);
   if (!StartGateways()) co_return kCouldNotRun;
   for (const auto& gateway : gateways_) {
     const bool is_ready =
@@ -313,7 +319,7 @@
   }
   const TimePoint cut_at = MonotonicNow();
   if (HasTrouble()) {
-    record_.Add("the path to i-leaving is cut");
+    record_.Add("the zone of i-leaving is cut off");
     leaving.link().Cut();
   }
   for (const auto& gateway : gateways_) {
@@ -324,7 +330,7 @@
   }
   co_await SleepUntil(cut_at + kCutTime);
   if (HasTrouble()) {
-    record_.Add("the path to i-leaving is whole again");
+    record_.Add("the zone of i-leaving is back");
     leaving.link().Heal();
   }
   leaving.set_healed_at(cut_at + kCutTime);
